--- /dev/null
+++ b/cmake/options.cmake
@@ -0,0 +1,20 @@
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+
+if(NOT CMAKE_BUILD_TYPE)
+  set(CMAKE_BUILD_TYPE RelWithDebInfo)
+endif()
+
+set(PISTACHIOFLOW_SANITIZER "" CACHE STRING
+    "Sanitizers to build with: empty, address,undefined or thread")
+if(PISTACHIOFLOW_SANITIZER)
+  add_compile_options(-fsanitize=${PISTACHIOFLOW_SANITIZER} -fno-omit-frame-pointer)
+  add_link_options(-fsanitize=${PISTACHIOFLOW_SANITIZER})
+endif()
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
--- /dev/null
+++ b/include/pistachioflow/base/metrics.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace pistachioflow {
+
+/// A number that only grows. Thread safety: any thread may call any method.
+class Counter {
+public:
+  void add(std::uint64_t Amount = 1) { this->Sum += Amount; }
+  std::uint64_t value() const { return this->Sum.load(); }
+
+private:
+  std::atomic<std::uint64_t> Sum{0};
+};
+
+/// A number that goes up and down. Thread safety: as Counter.
+class Gauge {
+public:
+  void set(std::int64_t Value) { this->Now = Value; }
+  std::int64_t value() const { return this->Now.load(); }
+
+private:
+  std::atomic<std::int64_t> Now{0};
+};
+
+/// A distribution of durations in milliseconds, on a logarithmic scale.
+/// Thread safety: any thread may call any method.
+class LatencyHistogram {
+public:
+  LatencyHistogram();
+  ~LatencyHistogram();
+  LatencyHistogram(const LatencyHistogram &) = delete;
+  LatencyHistogram &operator=(const LatencyHistogram &) = delete;
+
+  void record(double Milliseconds);
+
+  /// Appends the buckets in Prometheus text format.
+  void print(std::string &Text, std::string_view Name) const;
+
+private:
+  struct Buckets;
+  std::unique_ptr<Buckets> Held;
+};
+
+/// Holds the metrics of a process by name. References stay valid as long as the
+/// registry. Thread safety: any thread may call any method.
+class MetricRegistry {
+public:
+  Counter &counter(const std::string &Name);
+  Gauge &gauge(const std::string &Name);
+  LatencyHistogram &latency(const std::string &Name);
+
+  /// Returns every metric in Prometheus text format.
+  std::string print() const;
+
+private:
+  mutable std::mutex Lock;
+  std::map<std::string, Counter> Counters;
+  std::map<std::string, Gauge> Gauges;
+  std::map<std::string, LatencyHistogram> Latencies;
+};
+
+} // namespace pistachioflow
--- /dev/null
+++ b/include/pistachioflow/model/action.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <variant>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "pistachioflow/base/variant_msgpack.hpp"
+#include "pistachioflow/model/job.hpp"
+#include "pistachioflow/model/reason.hpp"
+#include "pistachioflow/model/worker.hpp"
+
+namespace pistachioflow {
+
+// What the owner of a cell decided. A fold takes over only an action that still
+// fits its state, so that every reader of the stream drops the same ones.
+
+struct AdmitJob {
+  JobId Job;
+  MSGPACK_DEFINE(Job)
+};
+
+struct RefuseJob {
+  JobId Job;
+  MSGPACK_DEFINE(Job)
+};
+
+/// Take leases on all workers, then start the tasks on all of them.
+struct StartGang {
+  JobId Job;
+  Attempt Try = 0;
+  std::vector<Placement> Placements;
+  bool Borrowed = false; ///< Above the guarantee, so preemptible.
+  MSGPACK_DEFINE(Job, Try, Placements, Borrowed)
+};
+
+/// Ask for a checkpoint; a hard stop follows at the deadline.
+struct CheckpointGang {
+  JobId Job;
+  Attempt Try = 0;
+  Instant Deadline;
+  MSGPACK_DEFINE(Job, Try, Deadline)
+};
+
+/// What becomes of a job when its gang has stopped.
+enum class AfterStop : std::uint8_t { Requeue, Cancel, Fail };
+
+struct StopGang {
+  JobId Job;
+  Attempt Try = 0;
+  AfterStop Then = AfterStop::Requeue;
+  MSGPACK_DEFINE(Job, Try, Then)
+};
+
+struct ThrottleGang {
+  JobId Job;
+  Attempt Try = 0;
+  WorkerId Worker;
+  std::uint32_t CoresAllowed = 0;
+  MSGPACK_DEFINE(Job, Try, Worker, CoresAllowed)
+};
+
+/// Ends a job that no longer runs anywhere.
+struct EndJob {
+  JobId Job;
+  JobPhase Final = JobPhase::Failed;
+  MSGPACK_DEFINE(Job, Final)
+};
+
+/// Keeps capacity of the placements free for a large job.
+struct ReserveFor {
+  JobId Job;
+  std::vector<Placement> Placements;
+  Instant ExpectedStart;
+  MSGPACK_DEFINE(Job, Placements, ExpectedStart)
+};
+
+struct QuarantineWorker {
+  WorkerId Worker;
+  Instant Until;
+  MSGPACK_DEFINE(Worker, Until)
+};
+
+struct ReleaseWorker {
+  WorkerId Worker;
+  MSGPACK_DEFINE(Worker)
+};
+
+/// The workers where one guaranteed gang of a workspace can always be placed.
+struct Home {
+  WorkspaceId Workspace;
+  GangShape Shape;
+  std::vector<Placement> Placements;
+
+  bool operator==(const Home &) const = default;
+  MSGPACK_DEFINE(Workspace, Shape, Placements)
+};
+
+/// Replaces every home of the cell.
+struct AssignHomes {
+  std::vector<Home> Homes;
+  MSGPACK_DEFINE(Homes)
+};
+
+/// A guaranteed gang has no home any more.
+struct ReportAtRisk {
+  WorkspaceId Workspace;
+  GangShape Shape;
+  MSGPACK_DEFINE(Workspace, Shape)
+};
+
+/// Add alternatives only at the end: the index is stored in the log.
+using Action =
+    std::variant<AdmitJob, RefuseJob, StartGang, CheckpointGang, StopGang,
+                 ThrottleGang, EndJob, ReserveFor, QuarantineWorker,
+                 ReleaseWorker, AssignHomes, ReportAtRisk>;
+
+/// An action with its reason.
+struct Decision {
+  Action What;
+  Reason Why;
+  MSGPACK_DEFINE(What, Why)
+};
+
+} // namespace pistachioflow
+
+MSGPACK_ADD_ENUM(pistachioflow::AfterStop)
