Give the backend edit ids, explanations and trial edits

Cause: an edit whose answer was lost can only be repeated safely under an id that the caller keeps, and the explanations need the folded state, so both have to pass the interface between the HTTP server and the daemon.

Nothing to measure yet: the interface has no implementation.

--- a/include/pistachioflow/api/backend.hpp
+++ b/include/pistachioflow/api/backend.hpp
@@ -18,6 +18,7 @@
 struct NodeStatus {
   InstanceId Instance;
   DomainId Domain;
+  std::string HttpAddress; ///< host:port of its HTTP server; empty: unknown.
   bool Reachable = false;
   bool Leaving = false;
   bool LogReachable = false;
@@ -62,9 +63,18 @@
   virtual Lists lists() = 0;
 
   /// Returns the list's new revision once the edit is accepted and read back.
+  /// An edit repeated under the same \p EditId counts once; an empty one gets a
+  /// new id.
   /// Errors: StaleRevision, InvalidInput, Unavailable, UnknownOutcome.
-  virtual Result<Revision> editPlans(const PlansEdited &Edit) = 0;
-  virtual Result<Revision> editLimits(const LimitsEdited &Edit) = 0;
+  virtual Result<Revision> editPlans(const PlansEdited &Edit,
+                                     const RecordId &EditId) = 0;
+  virtual Result<Revision> editLimits(const LimitsEdited &Edit,
+                                      const RecordId &EditId) = 0;
+
+  /// Returns in plain sentences what the edit would refuse, move or put at
+  /// risk. Nothing is applied. Errors: StaleRevision, InvalidInput.
+  virtual Result<std::string> whatIfPlans(const PlansEdited &Edit) = 0;
+  virtual Result<std::string> whatIfLimits(const LimitsEdited &Edit) = 0;
 
   /// Returns once the submission is in the log.
   /// Errors: InvalidInput, Refused, Unavailable, UnknownOutcome.
@@ -77,9 +87,20 @@
 
   virtual RequestOutcome request(const CallerRequest &Request) = 0;
 
+  /// Drops a request that its caller no longer waits for. Best effort.
+  virtual void cancelRequest(const RequestId &Request) = 0;
+
   virtual NodesView nodes() = 0;
+
+  /// Returns the events of the streams that this instance folds and of its own
+  /// memory, not those in the memory of others.
   virtual TimelineView timeline(const TimelineQuery &Query) = 0;
 
+  /// Returns in plain sentences what happened to the subject, because of which
+  /// list entries, and what would have to change. Errors: NotFound.
+  virtual Result<std::string> explain(SubjectKind Kind,
+                                      const std::string &Subject) = 0;
+
   /// Tells whether the balancer should send new work here.
   virtual bool ready() = 0;
 
