--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,4 +1,5 @@
-set(PISTACHIOFLOW_WARNINGS -Wall -Wextra -Wpedantic -Werror)
+set(PISTACHIOFLOW_WARNINGS -Wall -Wextra -Wpedantic -Wno-missing-field-initializers
+    -Werror)
 
 function(pistachioflow_target_defaults target)
   target_compile_options(${target} PRIVATE ${PISTACHIOFLOW_WARNINGS})
