Read settings, lists, jobs and requests from JSON with findings

Cause: the daemon, the HTTP server and the command line need one place that turns text into typed values and says everything that is wrong with it. Change: a bounded JSON parser (size, depth and duplicate keys checked while parsing), an object reader that collects findings with their JSON path, codecs of the model's types, daemon settings, one table of names for each enum, and the table of reason codes from which docs/REASONS.md is written.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -33,6 +33,8 @@
     add_executable(${name}_tests ${tests})
     pistachioflow_target_defaults(${name}_tests)
     target_link_libraries(${name}_tests PRIVATE pf_${name} pf_catch_main)
+    target_compile_definitions(${name}_tests PRIVATE
+      PISTACHIOFLOW_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_precompile_headers(${name}_tests PRIVATE <catch2/catch.hpp>)
     add_test(NAME ${name} COMMAND ${name}_tests)
   endif()
--- /dev/null
+++ b/src/pistachioflow/codec/json_parse.cpp
@@ -0,0 +1,114 @@
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "pistachioflow/codec/json_reader.hpp"
+
+namespace pistachioflow {
+
+namespace {
+
+using nlohmann::json;
+
+/// Ends a parse from inside the parser's callback.
+struct BoundExceeded {
+  std::string Expected;
+  std::string Found;
+};
+
+/// Checks depth and duplicate keys while the parser runs.
+class StructureGuard {
+public:
+  explicit StructureGuard(std::uint32_t MaxDepth) : MaxDepth(MaxDepth) {}
+
+  bool operator()(int Depth, json::parse_event_t Event, const json &Parsed) {
+    switch (Event) {
+    case json::parse_event_t::object_start:
+      this->enter(Depth);
+      this->Keys.emplace_back();
+      break;
+    case json::parse_event_t::array_start:
+      this->enter(Depth);
+      break;
+    case json::parse_event_t::object_end:
+      this->Keys.pop_back();
+      break;
+    case json::parse_event_t::key:
+      this->addKey(Parsed.get_ref<const std::string &>());
+      break;
+    default:
+      break;
+    }
+    return true;
+  }
+
+private:
+  void enter(int Depth) const {
+    if (Depth >= static_cast<int>(this->MaxDepth))
+      throw BoundExceeded{"at most " + std::to_string(this->MaxDepth) +
+                              " levels of nesting",
+                          "more"};
+  }
+
+  void addKey(const std::string &Key) {
+    if (!this->Keys.back().insert(Key).second)
+      throw BoundExceeded{"each key once", "\"" + Key + "\" twice"};
+  }
+
+  std::uint32_t MaxDepth;
+  std::vector<std::set<std::string>> Keys;
+};
+
+Error invalid(std::string Place, std::string Expected, std::string Found) {
+  return Error{ErrorCode::InvalidInput,
+               "invalid JSON",
+               {{std::move(Place), std::move(Expected), std::move(Found)}}};
+}
+
+std::string lineOf(std::string_view Text, std::size_t Byte) {
+  const std::string_view Before = Text.substr(0, std::min(Byte, Text.size()));
+  const auto Line = 1 + std::count(Before.begin(), Before.end(), '\n');
+  return "line " + std::to_string(Line);
+}
+
+/// Drops the library's own prefix from its message.
+std::string shorten(std::string_view Message) {
+  const std::size_t Cut = Message.find("] ");
+  return std::string(Cut == std::string_view::npos ? Message
+                                                   : Message.substr(Cut + 2));
+}
+
+} // namespace
+
+Result<json> parseJson(std::string_view Text, const JsonBounds &Bounds,
+                       std::string_view Source) {
+  const std::string Name(Source);
+  if (Text.size() > Bounds.MaxBytes)
+    return invalid(Name,
+                   "at most " + std::to_string(Bounds.MaxBytes) + " bytes",
+                   std::to_string(Text.size()) + " bytes");
+  StructureGuard Guard(Bounds.MaxDepth);
+  const auto Check = [&Guard](int Depth, json::parse_event_t Event,
+                              json &Parsed) {
+    return Guard(Depth, Event, Parsed);
+  };
+  try {
+    return json::parse(Text, Check, true, Bounds.AllowComments);
+  } catch (const json::parse_error &Fault) {
+    return invalid(Name + " " + lineOf(Text, Fault.byte), "JSON",
+                   shorten(Fault.what()));
+  } catch (const json::exception &Fault) {
+    return invalid(Name, "JSON", shorten(Fault.what()));
+  } catch (const BoundExceeded &Fault) {
+    return invalid(Name, Fault.Expected, Fault.Found);
+  }
+}
+
+std::string dumpJson(const json &Value) {
+  constexpr int NoIndent = -1;
+  return Value.dump(NoIndent, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/codec/reason_table.cpp
@@ -0,0 +1,216 @@
+#include "pistachioflow/codec/reason_table.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace pistachioflow {
+
+namespace {
+
+constexpr std::string_view Nothing = "nothing in the lists";
+
+constexpr auto Table = std::to_array<ReasonText>({
+    {ReasonCode::None, "none", "No reason was recorded.", Nothing},
+    {ReasonCode::AdmittedWithinCeiling, "admitted_within_ceiling",
+     "The job fits the ceiling of its workspace's plan and waits for "
+     "placement.",
+     "limits: ceiling_accelerators of the plan"},
+    {ReasonCode::RefusedNoPlan, "refused_no_plan",
+     "The workspace stands in no entry of the list of plans.",
+     "plans: add an entry for the workspace"},
+    {ReasonCode::RefusedNoLimits, "refused_no_limits",
+     "The workspace's plan stands in no entry of the list of limits.",
+     "limits: add an entry for the plan"},
+    {ReasonCode::RefusedAboveCeiling, "refused_above_ceiling",
+     "The job alone asks for more accelerators than the plan's ceiling.",
+     "limits: raise ceiling_accelerators of the plan"},
+    {ReasonCode::RefusedFitsNowhere, "refused_fits_nowhere",
+     "No set of workers of the cell, even empty, has the shape that the job "
+     "asks for.",
+     "nothing in the lists; the job needs a smaller shape or a wider "
+     "adjacency"},
+    {ReasonCode::RefusedUrgentNotAllowed, "refused_urgent_not_allowed",
+     "The job is urgent and its plan does not allow urgent jobs.",
+     "limits: set allows_urgent of the plan"},
+    {ReasonCode::RefusedDuplicateJob, "refused_duplicate_job",
+     "A job with the same id was submitted before.",
+     "nothing in the lists; submit under a new id"},
+    {ReasonCode::CancelledByCaller, "cancelled_by_caller",
+     "The caller cancelled the job.", Nothing},
+    {ReasonCode::PlacedInGuarantee, "placed_in_guarantee",
+     "The job runs on accelerators that its workspace's guarantee covers.",
+     "limits: guarantees of the plan"},
+    {ReasonCode::PlacedBorrowing, "placed_borrowing",
+     "The job runs above its workspace's guarantee on free accelerators, and "
+     "can be preempted.",
+     "limits: guarantees of the plan, to make it part of the guarantee"},
+    {ReasonCode::PlacedBackfill, "placed_backfill",
+     "The job runs in a gap before a reservation starts, and can be preempted.",
+     "limits: guarantees of the plan, to make it part of the guarantee"},
+    {ReasonCode::PlacedUrgent, "placed_urgent",
+     "The job is urgent and was placed before the others.",
+     "limits: allows_urgent of the plan"},
+    {ReasonCode::ReservedForLargeJob, "reserved_for_large_job",
+     "Workers are kept free for a large job that has waited long.",
+     "limits: weight of the plan, to change whose turn comes first"},
+    {ReasonCode::MovedToJoinFragments, "moved_to_join_fragments",
+     "A borrowing job was moved so that free accelerators become adjacent.",
+     "limits: guarantees of the plan, so that the job is not a borrower"},
+    {ReasonCode::ReclaimedForGuarantee, "reclaimed_for_guarantee",
+     "A borrowing job gave its accelerators back to a workspace that needs its "
+     "guarantee.",
+     "limits: guarantees of either plan"},
+    {ReasonCode::ReclaimedForUrgent, "reclaimed_for_urgent",
+     "A borrowing job was preempted by an urgent one.",
+     "limits: allows_urgent of the urgent job's plan"},
+    {ReasonCode::ReclaimDeadlinePassed, "reclaim_deadline_passed",
+     "A job that was asked to checkpoint and leave was stopped at the "
+     "deadline.",
+     "limits: guarantees of the plan, so that the job is not a borrower"},
+    {ReasonCode::StoppedWorkerLost, "stopped_worker_lost",
+     "A worker of the gang was lost, so the whole gang stops and is queued "
+     "again.",
+     Nothing},
+    {ReasonCode::StoppedStartRefused, "stopped_start_refused",
+     "A worker refused the gang's lease, so every lease was released.",
+     Nothing},
+    {ReasonCode::StoppedOverrun, "stopped_overrun",
+     "A borrowing job ran past its declared time into a reservation.",
+     "limits: guarantees of the plan, so that the job is not a borrower"},
+    {ReasonCode::StoppedListsChanged, "stopped_lists_changed",
+     "An edit of the lists leaves no room for the running job.",
+     "the entry of plans or limits that the edit changed"},
+    {ReasonCode::StoppedOrphan, "stopped_orphan",
+     "A worker ran tasks that no record of the cell knows.", Nothing},
+    {ReasonCode::FailedOnManyWorkers, "failed_on_many_workers",
+     "The job's tasks failed on several workers, so the job is at fault.",
+     "nothing in the lists; mend the job and submit it under a new id"},
+    {ReasonCode::ThrottledAboveDeclared, "throttled_above_declared",
+     "A task uses more processors than its job declared, to the harm of its "
+     "neighbours.",
+     "nothing in the lists; declare the cores that the job uses"},
+    {ReasonCode::QuarantinedFailsTasks, "quarantined_fails_tasks",
+     "The worker failed tasks of several different jobs, so it gets no new "
+     "ones for a time.",
+     "nothing in the lists; repair or replace the worker"},
+    {ReasonCode::ReleasedOnProbation, "released_on_probation",
+     "The worker's quarantine ended; one more failure brings it back.",
+     Nothing},
+    {ReasonCode::WorkerLost, "worker_lost",
+     "The platform no longer lists the worker, or it does not answer.",
+     Nothing},
+    {ReasonCode::WorkerJoined, "worker_joined",
+     "The platform lists a new worker.", Nothing},
+    {ReasonCode::HomesAssigned, "homes_assigned",
+     "Each guaranteed gang was given workers where it can always run.",
+     "limits: guarantees of the plans"},
+    {ReasonCode::HomeMoved, "home_moved",
+     "A guaranteed gang was given other workers, since some of its own are "
+     "lost or quarantined.",
+     "limits: guarantees of the plans"},
+    {ReasonCode::GuaranteeAtRisk, "guarantee_at_risk",
+     "Too few healthy workers are left to hold the guaranteed gang.",
+     "limits: lower guarantees of a plan until they fit"},
+    {ReasonCode::EditAccepted, "edit_accepted",
+     "The edit is in the log and is the list's new revision.",
+     "edit the list again, based on the new revision"},
+    {ReasonCode::EditRefusedStale, "edit_refused_stale",
+     "Another edit was accepted first, so this one was based on an old "
+     "revision.",
+     "read the list again and repeat the edit on its revision"},
+    {ReasonCode::EditRefusedInvalid, "edit_refused_invalid",
+     "The edit breaks a rule of its list.",
+     "the entries that the findings name"},
+    {ReasonCode::EditRefusedCannotPack, "edit_refused_cannot_pack",
+     "The guarantees of the edit cannot all be held by the workers at the "
+     "same time.",
+     "limits: lower guarantees, or plans: move workspaces to smaller plans"},
+    {ReasonCode::OwnershipClaimed, "ownership_claimed",
+     "The instance owns the stream under a new epoch.", Nothing},
+    {ReasonCode::OwnershipLapsed, "ownership_lapsed",
+     "The owner could not renew its lease in time, so it stopped acting.",
+     Nothing},
+    {ReasonCode::OwnershipReleased, "ownership_released",
+     "The owner is leaving and named its successor.", Nothing},
+    {ReasonCode::ClaimVoid, "claim_void",
+     "Another instance claimed the stream first.", Nothing},
+    {ReasonCode::LogUnavailable, "log_unavailable",
+     "The platform's log could not be reached, so nothing new was decided.",
+     Nothing},
+    {ReasonCode::ConfigTooOld, "config_too_old",
+     "The instance has not heard of the lists for too long, so it takes no "
+     "new work.",
+     Nothing},
+    {ReasonCode::InstanceLeaving, "instance_leaving",
+     "The instance is shutting down and takes no new work.", Nothing},
+    {ReasonCode::RequestDone, "request_done",
+     "A runner answered the request in full.", Nothing},
+    {ReasonCode::RequestRefusedLimit, "request_refused_limit",
+     "The workspace is at its limit of requests.",
+     "limits: requests_per_second or concurrent_requests of the plan"},
+    {ReasonCode::RequestRefusedDeadline, "request_refused_deadline",
+     "The request could not be answered before its deadline.",
+     "nothing in the lists; allow a longer deadline"},
+    {ReasonCode::RequestRefusedQueueFull, "request_refused_queue_full",
+     "The queue of waiting requests is full.",
+     "limits: concurrent_requests of the plans that fill the queue"},
+    {ReasonCode::RequestRefusedNoPlan, "request_refused_no_plan",
+     "The workspace has no plan, or its plan has no limits.",
+     "plans: add the workspace; limits: add its plan"},
+    {ReasonCode::RequestRefusedLogDown, "request_refused_log_down",
+     "A non-idempotent request was refused before it was sent, since its "
+     "begin could not be recorded.",
+     Nothing},
+    {ReasonCode::RequestDuplicateKey, "request_duplicate_key",
+     "A request with the same key began before in this workspace.",
+     "nothing in the lists; ask for the outcome of the first"},
+    {ReasonCode::RequestNoRunner, "request_no_runner",
+     "No runner could take the request.", Nothing},
+    {ReasonCode::RequestAnswerLost, "request_answer_lost",
+     "The request was sent and its whole answer never arrived, so it may have "
+     "run.",
+     Nothing},
+    {ReasonCode::RequestCancelled, "request_cancelled",
+     "The caller no longer waits for the request.", Nothing},
+    {ReasonCode::RequestRetried, "request_retried",
+     "The request was sent to another runner, since the first surely did not "
+     "run it or it may run twice.",
+     Nothing},
+    {ReasonCode::RunnerEjected, "runner_ejected",
+     "The runner is slow or fails, so it gets no requests for a time.",
+     Nothing},
+    {ReasonCode::RunnerReturned, "runner_returned",
+     "The runner gets requests again.", Nothing},
+});
+
+} // namespace
+
+std::span<const ReasonText> reasonTable() { return Table; }
+
+const ReasonText &reasonText(ReasonCode Code) {
+  const auto At =
+      std::lower_bound(Table.begin(), Table.end(), Code,
+                       [](const ReasonText &Row, ReasonCode Wanted) {
+                         return Row.Code < Wanted;
+                       });
+  return At != Table.end() && At->Code == Code ? *At : Table.front();
+}
+
+std::string_view toString(ReasonCode Code) { return reasonText(Code).Name; }
+
+std::string reasonsPage() {
+  std::string Page =
+      "# Reason codes\n\n"
+      "Every action carries one of these codes. The table is written from "
+      "`src/pistachioflow/codec/reason_table.cpp`; a test compares the two.\n\n"
+      "| code | name | meaning | what an operator can change |\n"
+      "| --- | --- | --- | --- |\n";
+  for (const ReasonText &Row : Table) {
+    Page += "| " + std::to_string(static_cast<unsigned>(Row.Code)) + " | `" +
+            std::string(Row.Name) + "` | " + std::string(Row.Meaning) + " | " +
+            std::string(Row.Change) + " |\n";
+  }
+  return Page;
+}
+
+} // namespace pistachioflow
