--- a/include/pistachioflow/base/variant_msgpack.hpp
+++ b/include/pistachioflow/base/variant_msgpack.hpp
@@ -6,6 +6,14 @@
 
 #include <msgpack.hpp>
 
+namespace pistachioflow {
+
+/// Thrown while unpacking a variant whose index this program does not know: a
+/// later version wrote it.
+struct UnknownAlternative : msgpack::type_error {};
+
+} // namespace pistachioflow
+
 // msgpack-cxx has no adaptor for std::variant. A variant is written as the pair
 // [index, value]; alternatives may only be added at the end of the list.
 namespace msgpack {
@@ -32,7 +40,7 @@
         throw msgpack::type_error();
       const auto Index = In.via.array.ptr[0].as<std::uint32_t>();
       if (Index >= sizeof...(Ts))
-        throw msgpack::type_error();
+        throw pistachioflow::UnknownAlternative();
       readAlternative(In.via.array.ptr[1], Index, Value,
                       std::index_sequence_for<Ts...>{});
       return In;
--- a/include/pistachioflow/controller/stream.hpp
+++ b/include/pistachioflow/controller/stream.hpp
@@ -16,6 +16,12 @@
 
 namespace pistachioflow {
 
+/// The most bytes that a record of the log may have.
+constexpr std::size_t MaxRecordBytes = 8U << 20U;
+
+/// How many entries back a second copy of a record is recognised.
+constexpr std::size_t DuplicateWindow = 1'024;
+
 /// Encodes a record for the log.
 std::string encodeRecord(const Record &Value);
 
@@ -33,9 +39,10 @@
   StreamName Stream;
   Offset Next = 0;
   bool Started = false;
-  /// The record ids seen last, to drop second copies.
+  /// The ids of the last DuplicateWindow entries below Next, second copies
+  /// included; an entry that could not be decoded has an empty id.
   std::deque<RecordId> Recent;
-  std::unordered_set<RecordId> RecentSet;
+  std::unordered_multiset<RecordId> RecentSet;
 };
 
 /// What a reader has to fold next.
@@ -45,7 +52,8 @@
   bool Restarted = false;
   std::vector<char> Snapshot;
   std::vector<StreamRecord> Records;
-  bool AtEnd = false; ///< The reader had reached the end of the stream.
+  bool AtEnd = false;      ///< The reader had reached the end of the stream.
+  std::size_t Damaged = 0; ///< Entries that no reader can decode; skipped.
 };
 
 /// Reads what is new and moves \p Cursor on. Second copies of a record are
@@ -53,8 +61,17 @@
 /// latest snapshot; a gap is never silent.
 /// Errors: Unavailable; Expired where no snapshot reaches the kept records;
 /// Unsupported.
+/// The window of ids depends on the entries of the log alone, so that a reader
+/// that restarts from a snapshot drops the same copies as one that never did.
 Result<StreamBatch> readNew(LogService &Log, StreamCursor &Cursor);
 
+/// Takes entries that a peer forwarded instead of the log. Entries below the
+/// cursor are skipped; the first gap ends the batch, and AtEnd stays false.
+/// Precondition: \p Cursor has been started by readNew.
+/// Errors: Unsupported.
+Result<StreamBatch> readForwarded(std::span<const LogEntry> Entries,
+                                  StreamCursor &Cursor);
+
 /// Makes ids that no other process makes.
 /// Not thread safe.
 class RecordIdSource {
@@ -77,8 +94,12 @@
 
 /// Appends \p Value; where the answer is lost, reads the stream from \p From on
 /// to learn whether it took effect, and never appends a second copy before.
+/// Pass \p MayBeInStream where an earlier call for this record ended Unknown;
+/// the stream is then read before anything is appended. A copy that is still on
+/// its way after all is dropped by every reader.
 /// A call may block for several log timeouts.
 AppendState appendOrConfirm(LogService &Log, const StreamName &Stream,
-                            const Record &Value, Offset From);
+                            const Record &Value, Offset From,
+                            bool MayBeInStream = false);
 
 } // namespace pistachioflow
