--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,4 +1,5 @@
-set(PISTACHIOFLOW_WARNINGS -Wall -Wextra -Wpedantic -Werror)
+set(PISTACHIOFLOW_WARNINGS -Wall -Wextra -Wpedantic -Wno-missing-field-initializers
+    -Werror)
 
 function(pistachioflow_target_defaults target)
   target_compile_options(${target} PRIVATE ${PISTACHIOFLOW_WARNINGS})
@@ -33,6 +34,8 @@
     add_executable(${name}_tests ${tests})
     pistachioflow_target_defaults(${name}_tests)
     target_link_libraries(${name}_tests PRIVATE pf_${name} pf_catch_main)
+    target_compile_definitions(${name}_tests PRIVATE
+      PISTACHIOFLOW_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_precompile_headers(${name}_tests PRIVATE <catch2/catch.hpp>)
     add_test(NAME ${name} COMMAND ${name}_tests)
   endif()
