Give key records a claim and runners a gossiped count

Cause: a begin must be told from an earlier one of the same request id, and a repeat of a key with another body must not get the first one's answer. Peers need a typed count for each runner. Change: RequestBegun carries Claim and BodyDigest, RequestEnded carries Claim; RunnerInFlight in model/request.hpp. Conclusion: additive; fields are at the end of each record.

--- a/include/pistachioflow/model/record.hpp
+++ b/include/pistachioflow/model/record.hpp
@@ -107,15 +107,19 @@
   WorkspaceId Workspace;
   std::string Key;
   RequestId Request;
-  MSGPACK_DEFINE(Workspace, Key, Request)
+  std::uint64_t Claim = 0;      ///< Unique to this attempt to begin.
+  std::uint64_t BodyDigest = 0; ///< Tells a repeat from another request.
+  MSGPACK_DEFINE(Workspace, Key, Request, Claim, BodyDigest)
 };
 
+/// Ends the claim of one RequestBegun. The state NotRun frees the key.
 struct RequestEnded {
   WorkspaceId Workspace;
   std::string Key;
   RequestId Request;
   RequestOutcome Outcome;
-  MSGPACK_DEFINE(Workspace, Key, Request, Outcome)
+  std::uint64_t Claim = 0;
+  MSGPACK_DEFINE(Workspace, Key, Request, Outcome, Claim)
 };
 
 /// Several key records in one append.
--- a/include/pistachioflow/model/request.hpp
+++ b/include/pistachioflow/model/request.hpp
@@ -52,6 +52,14 @@
   MSGPACK_DEFINE(State, Runner, Body, Why)
 };
 
+/// How many requests an instance has in flight at one runner.
+struct RunnerInFlight {
+  RunnerId Runner;
+  std::uint32_t Count = 0;
+
+  MSGPACK_DEFINE(Runner, Count)
+};
+
 } // namespace pistachioflow
 
 MSGPACK_ADD_ENUM(pistachioflow::RequestClass)
