Decide admission, placement, stops and ends of jobs

Cause: nothing stood behind policy/cell.hpp, so no path could run a job. Change: the fold of every fact and action, an index beside the state that is built again from it when needed, admission and refusal with exact reasons, gangs placed as near as they ask on accelerators, cores and memory, fair sharing between workspaces, cancellation in each phase, lost workers, bounded tries. CheckpointGang and StopGang name the job that needs the capacity.

--- a/include/pistachioflow/model/action.hpp
+++ b/include/pistachioflow/model/action.hpp
@@ -39,7 +39,9 @@
   JobId Job;
   Attempt Try = 0;
   Instant Deadline;
-  MSGPACK_DEFINE(Job, Try, Deadline)
+  JobId For = {}; ///< The job that needs the capacity.
+  ReasonCode Cause = ReasonCode::None;
+  MSGPACK_DEFINE(Job, Try, Deadline, For, Cause)
 };
 
 /// What becomes of a job when its gang has stopped.
@@ -49,7 +51,8 @@
   JobId Job;
   Attempt Try = 0;
   AfterStop Then = AfterStop::Requeue;
-  MSGPACK_DEFINE(Job, Try, Then)
+  JobId For = {}; ///< The job that needs the capacity; empty: none does.
+  MSGPACK_DEFINE(Job, Try, Then, For)
 };
 
 struct ThrottleGang {
@@ -67,7 +70,8 @@
   MSGPACK_DEFINE(Job, Final)
 };
 
-/// Keeps capacity of the placements free for a large job.
+/// Keeps capacity of the placements free for a large job. No placements: ends
+/// the job's reservation.
 struct ReserveFor {
   JobId Job;
   std::vector<Placement> Placements;
--- a/include/pistachioflow/model/reason.hpp
+++ b/include/pistachioflow/model/reason.hpp
@@ -30,6 +30,8 @@
   PlacedUrgent = 203,
   ReservedForLargeJob = 204,
   MovedToJoinFragments = 205,
+  PlacedReserved = 206,
+  ReservationEnded = 207,
   // Jobs: stops.
   ReclaimedForGuarantee = 300,
   ReclaimedForUrgent = 301,
@@ -41,6 +43,7 @@
   StoppedOrphan = 307,
   FailedOnManyWorkers = 308,
   ThrottledAboveDeclared = 309,
+  ReclaimedForWaiting = 310, ///< For a job that has waited too long.
   // Workers and guarantees.
   QuarantinedFailsTasks = 400,
   ReleasedOnProbation = 401,
@@ -110,6 +113,10 @@
   RequestLimit,
   CheckpointAgeMs,
   ReservedAtMs,
+  ExpectedRuntimeMs,
+  Preemptions,
+  Workers,
+  Homes,
 };
 
 /// One number that decided an action.
--- a/include/pistachioflow/policy/cell.hpp
+++ b/include/pistachioflow/policy/cell.hpp
@@ -9,6 +9,8 @@
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/model/action.hpp"
 #include "pistachioflow/model/event.hpp"
+#include "pistachioflow/policy/cell_index.hpp"
+#include "pistachioflow/policy/job_state.hpp"
 
 namespace pistachioflow::policy {
 
@@ -19,37 +21,56 @@
   Duration ReclaimDeadline{4'000};
 };
 
-/// A job as the fold of its cell knows it.
-struct JobState {
-  JobSpec Spec;
-  JobPhase Phase = JobPhase::Queued;
-  Attempt Try = 0;
-  bool Admitted = false;
-  bool Borrowed = false;
+/// The presets of the two deployments.
+constexpr Settings ChessPreset{0.2, {4'000}};
+constexpr Settings CuringPreset{0.8, {4'000}};
+
+/// Capacity that is kept for one large job.
+struct Reservation {
+  JobId Job;
   std::vector<Placement> Placements;
-  Instant SubmittedAt;
-  Instant StartedAt;
+  Instant ExpectedStart;
+  Instant MadeAt;
 
-  MSGPACK_DEFINE(Spec, Phase, Try, Admitted, Borrowed, Placements, SubmittedAt,
-                 StartedAt)
+  MSGPACK_DEFINE(Job, Placements, ExpectedStart, MadeAt)
 };
 
-struct WorkerState {
-  WorkerInfo Info;
-  bool Lost = false;
+/// What the ended jobs of one workspace really took.
+struct ObservedRatios {
+  std::int64_t RuntimePermille = 1'000; ///< Real over declared run time.
+  std::int64_t CoresPermille = 1'000;   ///< Used over declared cores.
 
-  MSGPACK_DEFINE(Info, Lost)
+  MSGPACK_DEFINE(RuntimePermille, CoresPermille)
+};
+
+/// A guaranteed gang that has no home, as reported last.
+struct AtRisk {
+  WorkspaceId Workspace;
+  GangShape Shape;
+
+  bool operator==(const AtRisk &) const = default;
+  MSGPACK_DEFINE(Workspace, Shape)
 };
 
 /// Everything that the owner of one cell decides on. A pure fold of the cell's
-/// stream. Not thread safe: its owner guards it with the cell's lock.
+/// stream. Not thread safe: its owner guards it with the cell's lock. Change it
+/// through observe() and apply() alone, which keep the index in step.
 struct CellState {
   Lists Configuration;
   std::map<JobId, JobState> Jobs;
   std::map<WorkerId, WorkerState> Workers;
   std::vector<Home> Homes;
+  bool HomesStale = false; ///< Lists or workers changed since they were packed.
+  std::vector<AtRisk> GuaranteesAtRisk;
+  std::vector<Reservation> Reservations;
+  std::map<WorkspaceId, ObservedRatios> Ratios;
+  std::vector<JobId> Duplicates; ///< Submitted again with another spec.
+  Instant ObservedAt;
+
+  MSGPACK_DEFINE(Configuration, Jobs, Workers, Homes, HomesStale,
+                 GuaranteesAtRisk, Reservations, Ratios, Duplicates, ObservedAt)
 
-  MSGPACK_DEFINE(Configuration, Jobs, Workers, Homes)
+  CellIndex Index;
 };
 
 // The four functions below are the whole interface of the decisions. They do no
--- /dev/null
+++ b/include/pistachioflow/policy/work_count.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/model/action.hpp"
+
+namespace pistachioflow::policy {
+
+struct CellState;
+struct Settings;
+
+/// How much work one call of decide() did.
+struct WorkCount {
+  std::uint64_t JobsLookedAt = 0;
+  std::uint64_t PlacementsWeighed = 0;
+  std::uint64_t VictimsWeighed = 0;
+};
+
+/// Decides like decide() of cell.hpp, and adds to \p Work.
+std::vector<Decision> decide(const CellState &State, const Settings &Prefer,
+                             Instant Now, WorkCount &Work);
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/correction.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+#include "pistachioflow/policy/cell.hpp"
+
+namespace pistachioflow::policy {
+
+/// Returns the declared run time, corrected by what the workspace's earlier
+/// jobs took.
+Duration correctedRuntime(const CellState &State, const JobSpec &Spec);
+
+/// Learns from a job that finished after \p Run.
+void learnRuntime(CellState &State, const JobState &Job, Duration Run);
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/decide.cpp
@@ -0,0 +1,54 @@
+#include "pistachioflow/policy/admission.hpp"
+#include "pistachioflow/policy/cell.hpp"
+#include "pistachioflow/policy/plan.hpp"
+#include "pistachioflow/policy/sharing.hpp"
+#include "pistachioflow/policy/stops.hpp"
+
+namespace pistachioflow::policy {
+
+namespace {
+
+std::vector<Decision> decideWith(const CellState &State, const CellIndex &Index,
+                                 const Settings &Prefer, Instant Now,
+                                 WorkCount &Work) {
+  Plan Draft(State, Index, Prefer, Now, Work);
+  decideStops(Draft);
+  decideAdmissions(Draft);
+  decideShared(Draft);
+  return std::move(Draft.Made);
+}
+
+} // namespace
+
+std::vector<Decision> decide(const CellState &State, const Settings &Prefer,
+                             Instant Now, WorkCount &Work) {
+  if (State.Index.Built)
+    return decideWith(State, State.Index, Prefer, Now, Work);
+  const CellIndex Index = buildIndex(State);
+  return decideWith(State, Index, Prefer, Now, Work);
+}
+
+std::vector<Decision> decide(const CellState &State, const Settings &Prefer,
+                             Instant Now) {
+  WorkCount Work;
+  return decide(State, Prefer, Now, Work);
+}
+
+std::vector<Decision> step(CellState &State, const Event &Fact,
+                           const Settings &Prefer, Instant Now) {
+  constexpr int MaxRounds = 8;
+  observe(State, Fact, Now);
+  std::vector<Decision> All;
+  for (int Round = 0; Round < MaxRounds; ++Round) {
+    std::vector<Decision> Made = decide(State, Prefer, Now);
+    if (Made.empty())
+      break;
+    for (Decision &Next : Made) {
+      apply(State, Next.What, Now);
+      All.push_back(std::move(Next));
+    }
+  }
+  return All;
+}
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/home_use.cpp
@@ -0,0 +1,80 @@
+#include "pistachioflow/policy/home_use.hpp"
+
+#include <algorithm>
+
+#include "pistachioflow/policy/capacity.hpp"
+#include "pistachioflow/policy/job_edit.hpp"
+
+namespace pistachioflow::policy {
+
+namespace {
+
+using HomeRoom = std::map<WorkerId, Amount>;
+
+HomeRoom roomOfHomes(const CellState &State, const WorkspaceId &Workspace) {
+  HomeRoom Room;
+  for (const Home &Of : State.Homes)
+    if (Of.Workspace == Workspace)
+      for (const Placement &Place : Of.Placements)
+        Room[Place.Worker] += perTask(Of.Shape) * Place.Tasks;
+  return Room;
+}
+
+bool takeRoom(HomeRoom &Room, const JobState &Job) {
+  const Amount Task = perTask(Job.Spec.Shape);
+  for (const Placement &Place : Job.Placements) {
+    const auto Found = Room.find(Place.Worker);
+    if (Found == Room.end() || !covers(Found->second, Task * Place.Tasks))
+      return false;
+  }
+  for (const Placement &Place : Job.Placements)
+    Room[Place.Worker] -= Task * Place.Tasks;
+  return true;
+}
+
+void classifyWorkspace(CellState &State, const WorkspaceId &Workspace,
+                       std::span<const JobId> Active) {
+  HomeRoom Room = roomOfHomes(State, Workspace);
+  for (const bool WasBorrowed : {false, true})
+    for (const JobId &Name : Active) {
+      JobState &Job = State.Jobs.at(Name);
+      if (Job.Borrowed != WasBorrowed)
+        continue;
+      const bool Borrows = !takeRoom(Room, Job);
+      if (Borrows == Job.Borrowed)
+        continue;
+      JobEdit Edit(State, Job);
+      Edit->Borrowed = Borrows;
+    }
+}
+
+} // namespace
+
+bool fitsHome(const CellIndex &Index, const JobSpec &Spec,
+              std::span<const Placement> Placements) {
+  const WorkspaceIndex *Workspace = findWorkspace(Index, Spec.Workspace);
+  if (!Workspace)
+    return false;
+  for (const Placement &Place : Placements) {
+    const auto Slot = Index.SlotOf.find(Place.Worker);
+    if (Slot == Index.SlotOf.end())
+      return false;
+    const auto Part =
+        std::ranges::find(Workspace->Parts, Slot->second, &HomePart::Slot);
+    if (Part == Workspace->Parts.end() ||
+        !covers(Part->Total - Part->Used, perTask(Spec.Shape) * Place.Tasks))
+      return false;
+  }
+  return true;
+}
+
+void classifyGangs(CellState &State) {
+  std::map<WorkspaceId, std::vector<JobId>> Active;
+  for (const auto &[Name, Workspace] : State.Index.Workspaces)
+    for (const DueJob &Due : Workspace.Active)
+      Active[Name].push_back(Due.Job);
+  for (const auto &[Name, Jobs] : Active)
+    classifyWorkspace(State, Name, Jobs);
+}
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/plan.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "pistachioflow/policy/cell.hpp"
+#include "pistachioflow/policy/placement.hpp"
+#include "pistachioflow/policy/work_count.hpp"
+
+namespace pistachioflow::policy {
+
+/// What a workspace uses once the decisions so far are applied.
+struct WorkspaceUse {
+  std::int64_t Used = 0;
+  std::int64_t Borrowed = 0;
+  std::int64_t Leaving = 0; ///< Of Used, of gangs that will stop.
+  std::vector<HomePart> Parts;
+};
+
+/// The decisions of one call while they are made, and the capacity as it will
+/// be once they are applied. Not thread safe.
+class Plan {
+public:
+  Plan(const CellState &State, const CellIndex &Index, const Settings &Prefer,
+       Instant Now, WorkCount &Work);
+
+  const CellState &State;
+  const CellIndex &Index;
+  const Settings &Prefer;
+  const Instant Now;
+  WorkCount &Work;
+  Capacity Cap;
+  std::vector<Amount> Held; ///< By slot: kept for jobs that wait for a reclaim.
+  std::vector<Amount> Kept; ///< By slot: kept by reservations.
+  std::set<JobId> Touched;  ///< Jobs that were started, stopped or ended.
+  std::vector<Decision> Made;
+
+  const JobState &job(const JobId &Name) const;
+  WorkspaceUse &use(const WorkspaceId &Workspace);
+
+  void decide(Action What, Reason Why);
+
+  /// Decides to start the job at \p At and takes the capacity.
+  void start(const JobState &Job, std::span<const SlotShare> At, bool Borrowed,
+             Reason Why);
+
+  /// Moves the use of an active gang from preemptible to coming.
+  void markLeaving(const JobState &Job);
+
+  /// Keeps \p At free for the job during this call.
+  void hold(const GangShape &Shape, std::span<const SlotShare> At);
+
+  /// Returns what is free on the slot for any job that may use it.
+  Amount freeOn(SlotIndex Slot) const;
+
+  std::vector<Placement> placements(std::span<const SlotShare> At) const;
+
+  /// Tells whether the ceiling of the job's workspace lets it start.
+  bool underCeiling(const JobState &Job);
+
+private:
+  std::map<WorkspaceId, WorkspaceUse> Uses;
+};
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/reasons.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <vector>
+
+#include "pistachioflow/policy/plan.hpp"
+
+namespace pistachioflow::policy {
+
+/// Returns the lines of the two lists that rule the workspace. A line that is
+/// not there is named as well, at the revision that lacks it.
+std::vector<EntryRef> entriesOf(const CellState &State,
+                                const WorkspaceId &Workspace);
+
+/// Returns a reason about one workspace.
+Reason reasonFor(const CellState &State, const WorkspaceId &Workspace,
+                 ReasonCode Code, std::initializer_list<Quantity> Numbers,
+                 std::string PassedOver = {});
+
+/// Returns a reason about the lists as a whole: every workspace with a home,
+/// or, where there is none, every line of the list of plans.
+Reason reasonForAll(const CellState &State, ReasonCode Code,
+                    std::initializer_list<Quantity> Numbers,
+                    std::string PassedOver = {});
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/sharing.cpp
@@ -0,0 +1,84 @@
+#include "pistachioflow/policy/sharing.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+#include "pistachioflow/policy/queue_cursor.hpp"
+#include "pistachioflow/policy/reasons.hpp"
+#include "pistachioflow/policy/rooms.hpp"
+
+namespace pistachioflow::policy {
+
+namespace {
+
+/// One workspace that still may have a job to start.
+struct Sharer {
+  const WorkspaceId *Name = nullptr;
+  std::int64_t Weight = 1;
+  QueueCursor Queue;
+};
+
+std::vector<Sharer> sharersOf(const Plan &Draft) {
+  std::vector<Sharer> Sharers;
+  for (const auto &[Name, Workspace] : Draft.Index.Workspaces) {
+    if (!Workspace.Limits || Workspace.Queues.empty())
+      continue;
+    const std::int64_t Weight = std::max(Workspace.Limits->Weight, 1U);
+    Sharers.push_back({&Name, Weight, QueueCursor(Draft, Workspace.Queues)});
+  }
+  return Sharers;
+}
+
+/// Tells whether \p Left borrows less for its weight than \p Right.
+bool borrowsLess(Plan &Draft, const Sharer &Left, const Sharer &Right) {
+  return Draft.use(*Left.Name).Borrowed * Right.Weight <
+         Draft.use(*Right.Name).Borrowed * Left.Weight;
+}
+
+std::size_t nextSharer(Plan &Draft, const std::vector<Sharer> &Sharers) {
+  std::size_t Chosen = 0;
+  for (std::size_t At = 1; At < Sharers.size(); ++At)
+    if (borrowsLess(Draft, Sharers[At], Sharers[Chosen]))
+      Chosen = At;
+  return Chosen;
+}
+
+bool startBorrowing(Plan &Draft, const JobState &Job) {
+  if (!Draft.underCeiling(Job))
+    return false;
+  const Rooms Room = roomToBorrow(Draft, Job);
+  const auto At = placeTightly(Draft, Job.Spec.Shape, Room);
+  if (!At)
+    return false;
+  const WorkspaceUse &Use = Draft.use(Job.Spec.Workspace);
+  Reason Why =
+      reasonFor(Draft.State, Job.Spec.Workspace, ReasonCode::PlacedBorrowing,
+                {{Measure::AcceleratorsAsked, Job.Spec.Shape.accelerators()},
+                 {Measure::AcceleratorsUsed, Use.Used},
+                 {Measure::WaitedMs, (Draft.Now - Job.SubmittedAt).Ms},
+                 {Measure::ExpectedRuntimeMs, Job.ExpectedRuntime.Ms}},
+                "keep it queued");
+  Draft.start(Job, *At, true, std::move(Why));
+  return true;
+}
+
+} // namespace
+
+void decideShared(Plan &Draft) {
+  std::vector<Sharer> Sharers = sharersOf(Draft);
+  while (!Sharers.empty()) {
+    const std::size_t Chosen = nextSharer(Draft, Sharers);
+    Sharer &Next = Sharers[Chosen];
+    const JobState *Job = Next.Queue.next();
+    if (!Job) {
+      Sharers.erase(Sharers.begin() + static_cast<std::ptrdiff_t>(Chosen));
+      continue;
+    }
+    ++Draft.Work.JobsLookedAt;
+    if (!startBorrowing(Draft, *Job) && Job->FailedOn.empty())
+      Next.Queue.skipShape();
+  }
+}
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/stops.cpp
@@ -0,0 +1,94 @@
+#include "pistachioflow/policy/stops.hpp"
+
+#include "pistachioflow/policy/reasons.hpp"
+
+namespace pistachioflow::policy {
+
+namespace {
+
+Reason stopReason(const Plan &Draft, const JobState &Job, ReasonCode Code,
+                  std::string PassedOver) {
+  const Duration Unsaved = Draft.Now - Job.CheckpointAt;
+  return reasonFor(
+      Draft.State, Job.Spec.Workspace, Code,
+      {{Measure::AcceleratorsUsed, Job.Spec.Shape.accelerators()},
+       {Measure::CheckpointAgeMs, Unsaved.Ms},
+       {Measure::Preemptions, static_cast<std::int64_t>(Job.Preemptions)},
+       {Measure::DeadlineMs, Job.Reclaim.Deadline.Ms}},
+      std::move(PassedOver));
+}
+
+void stopGang(Plan &Draft, const JobState &Job, AfterStop Then, JobId For,
+              Reason Why) {
+  Draft.decide(StopGang{Job.Spec.Job, Job.Try, Then, std::move(For)},
+               std::move(Why));
+  Draft.markLeaving(Job);
+  Draft.Touched.insert(Job.Spec.Job);
+}
+
+void endQueued(Plan &Draft, const JobState &Job) {
+  const bool Cancelled = Job.CancelRequested;
+  const JobPhase Final = Cancelled ? JobPhase::Cancelled : JobPhase::Failed;
+  const ReasonCode Code = Cancelled ? ReasonCode::CancelledByCaller
+                                    : ReasonCode::FailedOnManyWorkers;
+  Draft.decide(EndJob{Job.Spec.Job, Final},
+               reasonFor(Draft.State, Job.Spec.Workspace, Code,
+                         {{Measure::Attempts, Job.Try},
+                          {Measure::WorkersTried,
+                           static_cast<std::int64_t>(Job.FailedOn.size())},
+                          {Measure::Failures,
+                           static_cast<std::int64_t>(Job.FailedOn.size()) +
+                               static_cast<std::int64_t>(Job.Refusals)}},
+                         "try it on another worker"));
+  Draft.Touched.insert(Job.Spec.Job);
+}
+
+void throttle(Plan &Draft, const JobState &Job) {
+  for (const WorkerId &Worker : Job.OverusedOn)
+    for (const Placement &Place : Job.Placements) {
+      if (Place.Worker != Worker)
+        continue;
+      const std::uint32_t Cores = Place.Tasks * Job.Spec.Shape.CoresPerTask;
+      Draft.decide(ThrottleGang{Job.Spec.Job, Job.Try, Worker, Cores},
+                   stopReason(Draft, Job, ReasonCode::ThrottledAboveDeclared,
+                              "stop it"));
+    }
+}
+
+void attend(Plan &Draft, const JobState &Job) {
+  if (Job.Phase == JobPhase::Queued)
+    endQueued(Draft, Job);
+  else if (Job.CancelRequested)
+    stopGang(
+        Draft, Job, AfterStop::Cancel, {},
+        stopReason(Draft, Job, ReasonCode::CancelledByCaller, "let it finish"));
+  else if (Job.StopWanted != ReasonCode::None)
+    stopGang(Draft, Job, AfterStop::Requeue, {},
+             stopReason(Draft, Job, Job.StopWanted,
+                        "go on with the tasks that are left"));
+  else if (Job.Reclaim.CheckpointTaken)
+    stopGang(Draft, Job, AfterStop::Requeue, Job.Reclaim.For,
+             stopReason(Draft, Job, Job.Reclaim.Code, "wait for the deadline"));
+  else
+    throttle(Draft, Job);
+}
+
+} // namespace
+
+void decideStops(Plan &Draft) {
+  for (const JobId &Name : Draft.Index.Attention) {
+    ++Draft.Work.JobsLookedAt;
+    attend(Draft, Draft.job(Name));
+  }
+  for (const DueJob &Due : Draft.Index.Deadlines) {
+    if (Due.At > Draft.Now)
+      return;
+    const JobState &Job = Draft.job(Due.Job);
+    if (!Draft.Touched.contains(Due.Job))
+      stopGang(Draft, Job, AfterStop::Requeue, Job.Reclaim.For,
+               stopReason(Draft, Job, ReasonCode::ReclaimDeadlinePassed,
+                          "wait for the checkpoint"));
+  }
+}
+
+} // namespace pistachioflow::policy
