--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -41,10 +41,10 @@
   endif()
 endfunction()
 
-# Adds a program from src/pistachioflow/<folder>.
-function(pistachioflow_program program folder)
+# Adds a program from a folder of the project.
+function(pistachioflow_program_in program folder)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
-  pistachioflow_sources(src/pistachioflow/${folder} sources tests)
+  pistachioflow_sources(${folder} sources tests)
   if(sources)
     add_executable(${program} ${sources})
     pistachioflow_target_defaults(${program})
@@ -52,6 +52,11 @@
   endif()
 endfunction()
 
+# Adds a program from src/pistachioflow/<folder>.
+function(pistachioflow_program program folder)
+  pistachioflow_program_in(${program} src/pistachioflow/${folder} ${ARGN})
+endfunction()
+
 # Adds one program for each file of the folder.
 function(pistachioflow_benchmarks folder)
   pistachioflow_sources(${folder} sources tests)
