--- a/include/pistachioflow/policy/job_state.hpp
+++ b/include/pistachioflow/policy/job_state.hpp
@@ -32,6 +32,7 @@
   bool Borrowed = false;
   std::vector<Placement> Placements;
   Instant SubmittedAt;
+  Instant QueuedAt; ///< When it was submitted or last left its workers.
   Instant StartedAt;
   /// The declared run time, corrected by the workspace's earlier jobs.
   Duration ExpectedRuntime;
@@ -51,9 +52,10 @@
   std::vector<WorkerId> OverusedOn;  ///< Of this attempt, not yet throttled.
 
   MSGPACK_DEFINE(Spec, Phase, Try, Admitted, Borrowed, Placements, SubmittedAt,
-                 StartedAt, ExpectedRuntime, SavedProgress, CheckpointAt,
-                 EndedAt, NotBefore, CancelRequested, StopWanted, Then, Reclaim,
-                 Preemptions, Refusals, FailedOn, ThrottledOn, OverusedOn)
+                 QueuedAt, StartedAt, ExpectedRuntime, SavedProgress,
+                 CheckpointAt, EndedAt, NotBefore, CancelRequested, StopWanted,
+                 Then, Reclaim, Preemptions, Refusals, FailedOn, ThrottledOn,
+                 OverusedOn)
 };
 
 /// Tells whether the job holds accelerators.
--- /dev/null
+++ b/include/pistachioflow/policy/packing.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <span>
+#include <vector>
+
+#include "pistachioflow/base/finding.hpp"
+#include "pistachioflow/model/action.hpp"
+#include "pistachioflow/model/lists.hpp"
+#include "pistachioflow/model/worker.hpp"
+
+namespace pistachioflow::policy {
+
+/// A guaranteed gang that found no room.
+struct Unplaced {
+  WorkspaceId Workspace;
+  GangShape Shape;
+  std::size_t LimitsLine = 0; ///< Index in the list of limits.
+  std::size_t Guarantee = 0;  ///< Index in that line.
+
+  bool operator==(const Unplaced &) const = default;
+};
+
+struct Packing {
+  std::vector<Home> Homes;
+  std::vector<Unplaced> Missing;
+};
+
+/// Gives each guaranteed gang of \p Configuration a home on \p Workers. Homes
+/// of \p Keep that still serve a guarantee stay where they are; the largest
+/// gangs are placed first. The same arguments give the same packing. Thread
+/// safe.
+Packing packHomes(const Lists &Configuration,
+                  std::span<const WorkerInfo> Workers,
+                  std::span<const Home> Keep);
+
+/// Returns everything that keeps \p Configuration from being upheld on
+/// \p Workers: lines without limits, guarantees above their own ceiling, and
+/// guaranteed gangs that cannot be packed, each with its place. Empty: the edit
+/// can be accepted. Thread safe.
+Findings checkPacking(const Lists &Configuration,
+                      std::span<const WorkerInfo> Workers);
+
+} // namespace pistachioflow::policy
--- a/src/pistachioflow/policy/decide.cpp
+++ b/src/pistachioflow/policy/decide.cpp
@@ -1,8 +1,14 @@
 #include "pistachioflow/policy/admission.hpp"
 #include "pistachioflow/policy/cell.hpp"
+#include "pistachioflow/policy/guaranteed.hpp"
+#include "pistachioflow/policy/homes.hpp"
 #include "pistachioflow/policy/plan.hpp"
+#include "pistachioflow/policy/quarantine.hpp"
+#include "pistachioflow/policy/reservation.hpp"
+#include "pistachioflow/policy/revisions.hpp"
 #include "pistachioflow/policy/sharing.hpp"
 #include "pistachioflow/policy/stops.hpp"
+#include "pistachioflow/policy/urgent.hpp"
 
 namespace pistachioflow::policy {
 
@@ -12,9 +18,19 @@
                                  const Settings &Prefer, Instant Now,
                                  WorkCount &Work) {
   Plan Draft(State, Index, Prefer, Now, Work);
+  decideWorkers(Draft);
+  if (!Draft.Made.empty())
+    return std::move(Draft.Made);
   decideStops(Draft);
+  decideRevisions(Draft);
   decideAdmissions(Draft);
+  if (decideHomes(Draft))
+    return std::move(Draft.Made);
+  decideGuaranteed(Draft);
+  decideUrgent(Draft);
+  decideReserved(Draft);
   decideShared(Draft);
+  decideReservations(Draft);
   return std::move(Draft.Made);
 }
 
--- /dev/null
+++ b/src/pistachioflow/policy/expected_start.cpp
@@ -0,0 +1,131 @@
+#include "pistachioflow/policy/expected_start.hpp"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+
+#include "pistachioflow/policy/capacity.hpp"
+#include "pistachioflow/policy/queue_order.hpp"
+#include "pistachioflow/policy/rooms.hpp"
+
+namespace pistachioflow::policy {
+
+namespace {
+
+constexpr std::int64_t MinuteMs = 60'000;
+
+/// How far ahead to look; the first that yields a place is refined.
+constexpr std::array<std::int64_t, 10> HorizonsMs{
+    2 * MinuteMs,    5 * MinuteMs,      15 * MinuteMs,  30 * MinuteMs,
+    60 * MinuteMs,   120 * MinuteMs,    240 * MinuteMs, 720 * MinuteMs,
+    1440 * MinuteMs, 100'000 * MinuteMs};
+
+constexpr std::size_t MaxRacksSearched = 64;
+
+/// Room that opens on a slot at a time.
+struct Opening {
+  Instant At;
+  SlotIndex Slot = 0;
+  Amount Use;
+};
+
+std::int64_t freeIn(const Capacity &Cap, const DomainSlot &Domain) {
+  std::int64_t Free = 0;
+  for (std::uint32_t Rack = Domain.First; Rack < Domain.Last; ++Rack)
+    Free += Cap.Racks[Rack].FreeAccelerators;
+  return Free;
+}
+
+/// Returns the domains with most free accelerators, up to the bound of racks.
+std::vector<DomainSlot> domainsToSearch(const Capacity &Cap) {
+  std::vector<DomainSlot> Domains = Cap.Domains;
+  std::ranges::stable_sort(
+      Domains, std::greater{},
+      [&Cap](const DomainSlot &Domain) { return freeIn(Cap, Domain); });
+  std::size_t Racks = 0;
+  std::size_t Count = 0;
+  while (Count < Domains.size() && (Count == 0 || Racks < MaxRacksSearched)) {
+    Racks += Domains[Count].Last - Domains[Count].First;
+    ++Count;
+  }
+  Domains.resize(Count);
+  return Domains;
+}
+
+void addOpenings(const Plan &Draft, SlotIndex Slot,
+                 std::vector<Opening> &Openings) {
+  const WorkerId &Name = Draft.Index.WorkerOf[Slot]->Info.Worker;
+  for (const JobState *Gang : Draft.Index.Gangs[Slot]) {
+    if (!Gang->Borrowed)
+      continue;
+    const Instant End =
+        isLeaving(*Gang) ? Draft.Now : expectedEnd(*Gang, Draft.Now);
+    for (const Placement &Place : Gang->Placements)
+      if (Place.Worker == Name)
+        Openings.push_back(
+            {End, Slot, perTask(Gang->Spec.Shape) * Place.Tasks});
+  }
+}
+
+/// What is free now and what opens later on the searched slots.
+struct Outlook {
+  Rooms Free;
+  std::vector<Opening> Openings; ///< By time.
+};
+
+Outlook outlookOf(const Plan &Draft, const JobState &Job, bool WithHomes) {
+  const Rooms Free = roomToBorrow(Draft, Job);
+  Outlook Seen{Rooms(Free.size()), {}};
+  for (const DomainSlot &Domain : domainsToSearch(Draft.Cap)) {
+    const SlotIndex First = Draft.Cap.Racks[Domain.First].First;
+    const SlotIndex Last = Draft.Cap.Racks[Domain.Last - 1].Last;
+    for (SlotIndex Slot = First; Slot < Last; ++Slot) {
+      const WorkerSlot &At = Draft.Cap.Slots[Slot];
+      if (!At.Usable)
+        continue;
+      Seen.Free[Slot] = Free[Slot];
+      if (!WithHomes)
+        Seen.Free[Slot] -= most(At.Homes - At.HomeUsed, {});
+      addOpenings(Draft, Slot, Seen.Openings);
+    }
+  }
+  std::ranges::stable_sort(Seen.Openings, {}, &Opening::At);
+  return Seen;
+}
+
+Instant lastOpening(const Plan &Draft, const Outlook &Seen, const Shares &At,
+                    Instant Horizon) {
+  Instant Last = Draft.Now;
+  for (const Opening &Open : Seen.Openings)
+    if (Open.At <= Horizon &&
+        std::ranges::find(At, Open.Slot, &SlotShare::Slot) != At.end())
+      Last = std::max(Last, Open.At);
+  return Last;
+}
+
+std::optional<ExpectedStart> searchOutlook(Plan &Draft, const JobState &Job,
+                                           const Outlook &Seen) {
+  Rooms Room = Seen.Free;
+  auto Next = Seen.Openings.begin();
+  for (const std::int64_t Ahead : HorizonsMs) {
+    const Instant Horizon = Draft.Now + Duration{Ahead};
+    for (; Next != Seen.Openings.end() && Next->At <= Horizon; ++Next)
+      Room[Next->Slot] += Next->Use;
+    if (auto At = placeTightly(Draft, Job.Spec.Shape, Room))
+      return ExpectedStart{*At, lastOpening(Draft, Seen, *At, Horizon)};
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::optional<ExpectedStart> findExpectedStart(Plan &Draft,
+                                               const JobState &Job) {
+  for (const bool WithHomes : {false, true})
+    if (auto Found =
+            searchOutlook(Draft, Job, outlookOf(Draft, Job, WithHomes)))
+      return Found;
+  return std::nullopt;
+}
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/expected_start.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <optional>
+
+#include "pistachioflow/policy/plan.hpp"
+
+namespace pistachioflow::policy {
+
+struct ExpectedStart {
+  Shares At;
+  Instant Start;
+};
+
+/// Finds the workers that are expected to have room for the job first, as the
+/// gangs on them end. Idle homes are used only where nothing else will do. In
+/// a large cell only the domains with most free accelerators are searched.
+std::optional<ExpectedStart> findExpectedStart(Plan &Draft,
+                                               const JobState &Job);
+
+} // namespace pistachioflow::policy
--- a/src/pistachioflow/policy/fold.cpp
+++ b/src/pistachioflow/policy/fold.cpp
@@ -34,7 +34,7 @@
   else if (Job.Phase == JobPhase::Stopping && Job.Then == AfterStop::Fail)
     endJob(State, Job, JobPhase::Failed, At);
   else
-    requeueJob(State, Job, NotBefore);
+    requeueJob(State, Job, NotBefore, At);
 }
 
 void blameWorker(CellState &State, const WorkerId &Name, const JobId &Job) {
@@ -120,6 +120,7 @@
   JobState &Job = State.Jobs[Fact.Spec.Job];
   Job.Spec = Fact.Spec;
   Job.SubmittedAt = At;
+  Job.QueuedAt = At;
   Job.ExpectedRuntime = correctedRuntime(State, Fact.Spec);
   indexJob(State.Index, Job);
 }
--- a/src/pistachioflow/policy/fold_action.cpp
+++ b/src/pistachioflow/policy/fold_action.cpp
@@ -158,6 +158,17 @@
       Sign * Slot.Free.Accelerators;
 }
 
+/// The failures on a faulty worker do not count against the jobs.
+void excuseJobs(CellState &State, const WorkerState &Worker) {
+  for (const JobId &Name : Worker.FailedJobs) {
+    JobState *Job = findJob(State, Name);
+    if (!Job || hasEnded(*Job))
+      continue;
+    JobEdit Edit(State, *Job);
+    std::erase(Edit->FailedOn, Worker.Info.Worker);
+  }
+}
+
 bool fold(CellState &State, const QuarantineWorker &What, Instant) {
   const auto Found = State.Workers.find(What.Worker);
   if (Found == State.Workers.end() || Found->second.Quarantined)
@@ -167,6 +178,7 @@
   Worker.QuarantinedUntil = What.Until;
   Worker.OnProbation = false;
   ++Worker.Quarantines;
+  excuseJobs(State, Worker);
   Worker.FailedJobs.clear();
   refreshUsable(State, Worker);
   State.Index.Suspects.insert(What.Worker);
--- /dev/null
+++ b/src/pistachioflow/policy/guaranteed.cpp
@@ -0,0 +1,197 @@
+#include "pistachioflow/policy/guaranteed.hpp"
+
+#include <algorithm>
+
+#include "pistachioflow/policy/capacity.hpp"
+#include "pistachioflow/policy/queue_cursor.hpp"
+#include "pistachioflow/policy/reasons.hpp"
+#include "pistachioflow/policy/reclaim.hpp"
+#include "pistachioflow/policy/rooms.hpp"
+
+namespace pistachioflow::policy {
+
+namespace {
+
+/// Returns what is idle of the homes of the job's workspace.
+Rooms roomInHomes(Plan &Draft, const JobState &Job) {
+  Rooms Room(Draft.Cap.Slots.size());
+  for (const HomePart &Part : Draft.use(Job.Spec.Workspace).Parts)
+    if (Draft.Cap.Slots[Part.Slot].Usable)
+      Room[Part.Slot] = most(Part.Total - Part.Used, {});
+  leaveOutFailed(Draft, Job, Room);
+  return Room;
+}
+
+Rooms onlyFree(const Plan &Draft, Rooms Room) {
+  for (SlotIndex Slot = 0; Slot < Room.size(); ++Slot)
+    if (Room[Slot] != Amount{})
+      Room[Slot] = least(Room[Slot], Draft.freeOn(Slot));
+  return Room;
+}
+
+Reason placedReason(Plan &Draft, const JobState &Job) {
+  const WorkspaceUse &Use = Draft.use(Job.Spec.Workspace);
+  std::int64_t Guaranteed = 0;
+  for (const HomePart &Part : Use.Parts)
+    Guaranteed += Part.Total.Accelerators;
+  return reasonFor(Draft.State, Job.Spec.Workspace,
+                   ReasonCode::PlacedInGuarantee,
+                   {{Measure::AcceleratorsAsked, Job.Spec.Shape.accelerators()},
+                    {Measure::GuaranteedAccelerators, Guaranteed},
+                    {Measure::AcceleratorsUsed, Use.Used},
+                    {Measure::WaitedMs, (Draft.Now - Job.SubmittedAt).Ms}},
+                   "borrow elsewhere");
+}
+
+/// Prefers the part of the homes that lacks least.
+std::optional<Shares> placeInHomes(Plan &Draft, const GangShape &Shape,
+                                   const Rooms &Room) {
+  const auto Cost = [&](std::span<const SlotShare> At) {
+    std::int64_t Lacks = 0;
+    for (const SlotShare &Share : At) {
+      const WorkerSlot &Slot = Draft.Cap.Slots[Share.Slot];
+      const Amount There = Slot.Free + Slot.Coming - Draft.Held[Share.Slot];
+      const Amount Short = most(perTask(Shape) * Share.Tasks - There, {});
+      Lacks += Short.Accelerators * 1'000 + Short.Cores;
+    }
+    return Lacks;
+  };
+  return findPlacement({Draft.Cap, Shape, Room}, Cost,
+                       Draft.Work.PlacementsWeighed);
+}
+
+/// Keeps the capacity and the share of the guarantee for the waiting job.
+void waitAt(Plan &Draft, const JobState &Job, std::span<const SlotShare> At) {
+  WorkspaceUse &Use = Draft.use(Job.Spec.Workspace);
+  Use.Used += acceleratorsOf(Job);
+  Draft.hold(Job.Spec.Shape, At);
+  for (const SlotShare &Share : At)
+    if (HomePart *Part = findPart(Use.Parts, Share.Slot))
+      Part->Used += perTask(Job.Spec.Shape) * Share.Tasks;
+  Draft.Touched.insert(Job.Spec.Job);
+}
+
+/// Returns an idle home of the job's own shape, or null.
+Home *idleHome(Plan &Draft, const JobState &Job, std::vector<Home> &Homes) {
+  const Rooms Room = roomInHomes(Draft, Job);
+  const Amount Task = perTask(Job.Spec.Shape);
+  const auto IsIdle = [&](const Home &Of) {
+    if (Of.Workspace != Job.Spec.Workspace || Of.Shape != Job.Spec.Shape)
+      return false;
+    return std::ranges::all_of(Of.Placements, [&](const Placement &Place) {
+      const auto Slot = Draft.Index.SlotOf.find(Place.Worker);
+      return Slot != Draft.Index.SlotOf.end() &&
+             covers(Room[Slot->second], Task * Place.Tasks);
+    });
+  };
+  const auto Found = std::ranges::find_if(Homes, IsIdle);
+  return Found == Homes.end() ? nullptr : &*Found;
+}
+
+/// Returns what is free and promised to nobody.
+Rooms roomWithoutHomes(const Plan &Draft, const JobState &Job) {
+  Rooms Room = roomToBorrow(Draft, Job);
+  for (SlotIndex Slot = 0; Slot < Room.size(); ++Slot) {
+    const WorkerSlot &At = Draft.Cap.Slots[Slot];
+    Room[Slot] = most(least(Room[Slot], At.Total - At.Homes), {});
+  }
+  return Room;
+}
+
+void changeHomes(Plan &Draft, const Home &Of, std::int64_t Sign) {
+  WorkspaceUse &Use = Draft.use(Of.Workspace);
+  for (const Placement &Place : Of.Placements) {
+    const auto Slot = Draft.Index.SlotOf.find(Place.Worker);
+    if (Slot == Draft.Index.SlotOf.end())
+      continue;
+    const Amount Share = perTask(Of.Shape) * (Place.Tasks * Sign);
+    Draft.Cap.Slots[Slot->second].Homes += Share;
+    if (HomePart *Part = findPart(Use.Parts, Slot->second))
+      Part->Total += Share;
+    else
+      Use.Parts.push_back({Slot->second, Share, {}});
+  }
+}
+
+/// Moves an idle home of the job's shape to free workers that are promised to
+/// nobody. The job starts there once the move is folded.
+bool moveHome(Plan &Draft, const JobState &Job) {
+  std::vector<Home> Homes =
+      Draft.MovedHomes ? *Draft.MovedHomes : Draft.State.Homes;
+  Home *Idle = idleHome(Draft, Job, Homes);
+  if (!Idle)
+    return false;
+  const auto At =
+      placeTightly(Draft, Job.Spec.Shape, roomWithoutHomes(Draft, Job));
+  if (!At)
+    return false;
+  changeHomes(Draft, *Idle, -1);
+  Idle->Placements = Draft.placements(*At);
+  changeHomes(Draft, *Idle, 1);
+  Draft.MovedHomes = std::move(Homes);
+  waitAt(Draft, Job, *At);
+  return true;
+}
+
+enum class Outcome { Taken, NoRoom };
+
+Outcome takeHome(Plan &Draft, const JobState &Job) {
+  const Rooms Idle = roomInHomes(Draft, Job);
+  const bool Under = Draft.underCeiling(Job);
+  if (Under) {
+    const auto Free =
+        placeTightly(Draft, Job.Spec.Shape, onlyFree(Draft, Idle));
+    if (Free) {
+      Draft.start(Job, *Free, false, placedReason(Draft, Job));
+      return Outcome::Taken;
+    }
+  }
+  const auto At = placeInHomes(Draft, Job.Spec.Shape, Idle);
+  if (!At)
+    return Outcome::NoRoom;
+  if (!reclaimUnderCeiling(Draft, Job))
+    return Outcome::NoRoom;
+  if (Under && moveHome(Draft, Job))
+    return Outcome::Taken;
+  const auto Chosen =
+      chooseVictims(Draft, Job.Spec.Shape, *At, ReclaimKind::Guarantee);
+  if (Chosen)
+    reclaim(Draft, Job, *Chosen, ReasonCode::ReclaimedForGuarantee);
+  waitAt(Draft, Job, *At);
+  return Outcome::Taken;
+}
+
+void decideFor(Plan &Draft, const std::map<ShapeKey, JobQueue> &Queues) {
+  QueueCursor Queue(Draft, Queues);
+  while (const JobState *Job = Queue.next()) {
+    ++Draft.Work.JobsLookedAt;
+    if (takeHome(Draft, *Job) == Outcome::NoRoom && Job->FailedOn.empty())
+      Queue.skipShape();
+  }
+}
+
+} // namespace
+
+void decideGuaranteed(Plan &Draft) {
+  for (const auto &[Name, Workspace] : Draft.Index.Workspaces) {
+    if (!Workspace.Limits || Workspace.Parts.empty())
+      continue;
+    decideFor(Draft, Workspace.UrgentQueues);
+    decideFor(Draft, Workspace.Queues);
+  }
+  if (!Draft.MovedHomes)
+    return;
+  Draft.decide(AssignHomes{*Draft.MovedHomes},
+               reasonForAll(Draft.State, ReasonCode::HomeMoved,
+                            {{Measure::Homes, static_cast<std::int64_t>(
+                                                  Draft.MovedHomes->size())}},
+                            "reclaim the home from its borrowers"));
+  for (const AtRisk &Missing : Draft.State.GuaranteesAtRisk)
+    Draft.decide(
+        ReportAtRisk{Missing.Workspace, Missing.Shape},
+        reasonFor(Draft.State, Missing.Workspace, ReasonCode::GuaranteeAtRisk,
+                  {{Measure::AcceleratorsAsked, Missing.Shape.accelerators()}},
+                  "move a home that is in use"));
+}
+
+} // namespace pistachioflow::policy
--- a/src/pistachioflow/policy/job_edit.cpp
+++ b/src/pistachioflow/policy/job_edit.cpp
@@ -41,12 +41,14 @@
   releaseVictims(State, Job.Spec.Job);
 }
 
-void requeueJob(CellState &State, JobState &Job, Instant NotBefore) {
+void requeueJob(CellState &State, JobState &Job, Instant NotBefore,
+                Instant At) {
   JobEdit Edit(State, Job);
   leavePlacements(Job);
   Edit->Phase = JobPhase::Queued;
   Edit->Then = AfterStop::Requeue;
   Edit->NotBefore = NotBefore;
+  Edit->QueuedAt = At;
 }
 
 void releaseVictims(CellState &State, const JobId &Job) {
--- a/src/pistachioflow/policy/job_edit.hpp
+++ b/src/pistachioflow/policy/job_edit.hpp
@@ -33,7 +33,7 @@
 void endJob(CellState &State, JobState &Job, JobPhase Final, Instant At);
 
 /// Puts an active job back into the queue, to be tried again from \p NotBefore.
-void requeueJob(CellState &State, JobState &Job, Instant NotBefore);
+void requeueJob(CellState &State, JobState &Job, Instant NotBefore, Instant At);
 
 /// Forgets who reclaims gangs for \p Job, which needs them no more.
 void releaseVictims(CellState &State, const JobId &Job);
--- a/src/pistachioflow/policy/plan.cpp
+++ b/src/pistachioflow/policy/plan.cpp
@@ -7,8 +7,7 @@
 Plan::Plan(const CellState &State, const CellIndex &Index,
            const Settings &Prefer, Instant Now, WorkCount &Work)
     : State(State), Index(Index), Prefer(Prefer), Now(Now), Work(Work),
-      Cap(Index.Cap), Held(Index.Cap.Slots.size()),
-      Kept(Index.Cap.Slots.size()) {}
+      Cap(Index.Cap), Held(Index.Cap.Slots.size()) {}
 
 const JobState &Plan::job(const JobId &Name) const {
   return this->State.Jobs.at(Name);
@@ -75,6 +74,18 @@
   return most(At.Free - this->Held[Slot], {});
 }
 
+std::optional<Shares> Plan::shares(std::span<const Placement> At) const {
+  Shares Found;
+  for (const Placement &Place : At) {
+    const auto Slot = this->Index.SlotOf.find(Place.Worker);
+    if (Slot == this->Index.SlotOf.end() ||
+        !this->Cap.Slots[Slot->second].Usable)
+      return std::nullopt;
+    Found.push_back({Slot->second, Place.Tasks});
+  }
+  return Found;
+}
+
 std::vector<Placement> Plan::placements(std::span<const SlotShare> At) const {
   std::vector<Placement> List;
   List.reserve(At.size());
--- a/src/pistachioflow/policy/plan.hpp
+++ b/src/pistachioflow/policy/plan.hpp
@@ -22,6 +22,14 @@
   std::vector<HomePart> Parts;
 };
 
+/// What a reservation keeps until its job starts.
+struct KeptShare {
+  JobId For;
+  Instant ExpectedStart;
+  GangShape Shape;
+  Shares At;
+};
+
 /// The decisions of one call while they are made, and the capacity as it will
 /// be once they are applied. Not thread safe.
 class Plan {
@@ -36,8 +44,9 @@
   WorkCount &Work;
   Capacity Cap;
   std::vector<Amount> Held; ///< By slot: kept for jobs that wait for a reclaim.
-  std::vector<Amount> Kept; ///< By slot: kept by reservations.
-  std::set<JobId> Touched;  ///< Jobs that were started, stopped or ended.
+  std::vector<KeptShare> Kept; ///< By reservations.
+  std::set<JobId> Touched;     ///< Jobs that were started, stopped or ended.
+  std::optional<std::vector<Home>> MovedHomes;
   std::vector<Decision> Made;
 
   const JobState &job(const JobId &Name) const;
@@ -58,6 +67,9 @@
   /// Returns what is free on the slot for any job that may use it.
   Amount freeOn(SlotIndex Slot) const;
 
+  /// Returns the slots of \p At, or nothing where one is unknown or unusable.
+  std::optional<Shares> shares(std::span<const Placement> At) const;
+
   std::vector<Placement> placements(std::span<const SlotShare> At) const;
 
   /// Tells whether the ceiling of the job's workspace lets it start.
--- a/src/pistachioflow/policy/reasons.cpp
+++ b/src/pistachioflow/policy/reasons.cpp
@@ -1,6 +1,7 @@
 #include "pistachioflow/policy/reasons.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace pistachioflow::policy {
 
@@ -26,17 +27,17 @@
                     std::initializer_list<Quantity> Numbers,
                     std::string PassedOver) {
   Reason Why{Code, {}, Numbers, std::move(PassedOver)};
-  const auto Add = [&](const WorkspaceId &Workspace) {
-    for (EntryRef &Entry : entriesOf(State, Workspace))
-      if (std::ranges::find(Why.Entries, Entry) == Why.Entries.end())
-        Why.Entries.push_back(std::move(Entry));
-  };
-  for (const Home &Of : State.Homes)
-    Add(Of.Workspace);
-  if (!Why.Entries.empty())
-    return Why;
-  for (const PlanEntry &Plan : State.Configuration.Plans.Entries)
-    Add(Plan.Workspace);
+  const Lists &Now = State.Configuration;
+  std::set<PlanId> Named;
+  for (const LimitsEntry &Limits : Now.Limits.Entries)
+    if (!Limits.Guarantees.empty())
+      Named.insert(Limits.Plan);
+  for (const PlanEntry &Plan : Now.Plans.Entries)
+    if (Named.contains(Plan.Plan))
+      Why.Entries.push_back(
+          {ListKind::Plans, Plan.Workspace.Value, Now.Plans.At});
+  for (const PlanId &Plan : Named)
+    Why.Entries.push_back({ListKind::Limits, Plan.Value, Now.Limits.At});
   return Why;
 }
 
--- a/src/pistachioflow/policy/reasons.hpp
+++ b/src/pistachioflow/policy/reasons.hpp
@@ -18,8 +18,8 @@
                  ReasonCode Code, std::initializer_list<Quantity> Numbers,
                  std::string PassedOver = {});
 
-/// Returns a reason about the lists as a whole: every workspace with a home,
-/// or, where there is none, every line of the list of plans.
+/// Returns a reason about the guarantees as a whole: every line of limits that
+/// has some, and every line of plans that names it.
 Reason reasonForAll(const CellState &State, ReasonCode Code,
                     std::initializer_list<Quantity> Numbers,
                     std::string PassedOver = {});
--- /dev/null
+++ b/src/pistachioflow/policy/reclaim.cpp
@@ -0,0 +1,196 @@
+#include "pistachioflow/policy/reclaim.hpp"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+#include "pistachioflow/policy/capacity.hpp"
+#include "pistachioflow/policy/reasons.hpp"
+
+namespace pistachioflow::policy {
+
+namespace {
+
+/// From this number of preemptions on, a gang is chosen last.
+constexpr std::uint32_t ManyPreemptions = 2;
+
+/// What a checkpoint and the start from it cost each accelerator.
+constexpr Duration CheckpointCost{30'000};
+
+using Shortage = std::map<SlotIndex, Amount>;
+
+bool mayPreempt(const Plan &Draft, const JobState &Gang, ReclaimKind Kind) {
+  if (!Gang.Borrowed || isLeaving(Gang) ||
+      Draft.Touched.contains(Gang.Spec.Job))
+    return false;
+  if (Kind == ReclaimKind::Guarantee)
+    return true;
+  if (Gang.Spec.Urgent)
+    return false;
+  return Kind == ReclaimKind::Urgent || Gang.Preemptions < ManyPreemptions;
+}
+
+Shortage shortageOf(const Plan &Draft, const GangShape &Shape,
+                    std::span<const SlotShare> At) {
+  Shortage Short;
+  for (const SlotShare &Share : At) {
+    const WorkerSlot &Slot = Draft.Cap.Slots[Share.Slot];
+    const Amount There = Slot.Free + Slot.Coming - Draft.Held[Share.Slot];
+    const Amount Lacks = most(perTask(Shape) * Share.Tasks - There, {});
+    if (Lacks != Amount{})
+      Short[Share.Slot] = Lacks;
+  }
+  return Short;
+}
+
+std::vector<const JobState *> candidatesOn(Plan &Draft, const Shortage &Short,
+                                           ReclaimKind Kind) {
+  std::vector<const JobState *> Gangs;
+  for (const auto &[Slot, Lacks] : Short)
+    for (const JobState *Gang : Draft.Index.Gangs[Slot]) {
+      ++Draft.Work.VictimsWeighed;
+      if (mayPreempt(Draft, *Gang, Kind))
+        Gangs.push_back(Gang);
+    }
+  const auto Rank = [&Draft](const JobState *Gang) {
+    return std::tuple(Gang->Preemptions >= ManyPreemptions, Gang->Spec.Urgent,
+                      lostWork(*Gang, Draft.Now), Gang->Spec.Job);
+  };
+  std::ranges::sort(Gangs, {}, Rank);
+  const auto Twice = std::ranges::unique(Gangs);
+  Gangs.erase(Twice.begin(), Twice.end());
+  return Gangs;
+}
+
+/// Adds \p Sign times the gang's use to what is lacking. Returns whether one of
+/// the lacking workers is concerned.
+bool count(const Plan &Draft, Shortage &Short, const JobState &Gang,
+           std::int64_t Sign) {
+  bool Concerned = false;
+  for (const Placement &Place : Gang.Placements) {
+    const auto Slot = Draft.Index.SlotOf.find(Place.Worker);
+    if (Slot == Draft.Index.SlotOf.end() || !Short.contains(Slot->second))
+      continue;
+    Amount &Lacks = Short[Slot->second];
+    Concerned = Concerned || Lacks != least(Lacks, {});
+    Lacks += perTask(Gang.Spec.Shape) * (Place.Tasks * Sign);
+  }
+  return Concerned;
+}
+
+bool isMet(const Shortage &Short) {
+  return std::ranges::all_of(
+      Short, [](const auto &Lacks) { return covers({}, Lacks.second); });
+}
+
+/// Drops the dearest gangs that the others make unnecessary.
+void prune(const Plan &Draft, Shortage &Short,
+           std::vector<const JobState *> &Gangs) {
+  for (std::size_t At = Gangs.size(); At-- > 0;) {
+    count(Draft, Short, *Gangs[At], 1);
+    if (isMet(Short))
+      Gangs.erase(Gangs.begin() + static_cast<std::ptrdiff_t>(At));
+    else
+      count(Draft, Short, *Gangs[At], -1);
+  }
+}
+
+Reason reclaimReason(const Plan &Draft, const JobState &For,
+                     const JobState &Gang, ReasonCode Cause) {
+  Reason Why = reasonFor(
+      Draft.State, For.Spec.Workspace, Cause,
+      {{Measure::AcceleratorsAsked, For.Spec.Shape.accelerators()},
+       {Measure::WaitedMs, (Draft.Now - For.SubmittedAt).Ms},
+       {Measure::LostWorkMs, lostWork(Gang, Draft.Now)},
+       {Measure::Preemptions, static_cast<std::int64_t>(Gang.Preemptions)}},
+      "wait until it ends");
+  for (EntryRef &Entry : entriesOf(Draft.State, Gang.Spec.Workspace))
+    if (std::ranges::find(Why.Entries, Entry) == Why.Entries.end())
+      Why.Entries.push_back(std::move(Entry));
+  return Why;
+}
+
+} // namespace
+
+std::int64_t lostWork(const JobState &Gang, Instant Now) {
+  const Duration Unsaved = Now - Gang.CheckpointAt;
+  const bool Saves =
+      Gang.Spec.Checkpointable && Gang.Phase == JobPhase::Running;
+  const Duration Lost = Saves ? std::min(Unsaved, CheckpointCost) : Unsaved;
+  return Lost.Ms * std::max<std::int64_t>(acceleratorsOf(Gang), 1);
+}
+
+std::optional<Victims> chooseVictims(Plan &Draft, const GangShape &Shape,
+                                     std::span<const SlotShare> At,
+                                     ReclaimKind Kind) {
+  Shortage Short = shortageOf(Draft, Shape, At);
+  Victims Chosen;
+  for (const JobState *Gang : candidatesOn(Draft, Short, Kind)) {
+    if (isMet(Short))
+      break;
+    Shortage After = Short;
+    if (!count(Draft, After, *Gang, -1))
+      continue;
+    Short = std::move(After);
+    Chosen.Gangs.push_back(Gang);
+  }
+  if (!isMet(Short))
+    return std::nullopt;
+  prune(Draft, Short, Chosen.Gangs);
+  for (const JobState *Gang : Chosen.Gangs)
+    Chosen.LostWorkMs += lostWork(*Gang, Draft.Now);
+  return Chosen;
+}
+
+void reclaim(Plan &Draft, const JobState &For, const Victims &Chosen,
+             ReasonCode Cause) {
+  const Duration Grace{Draft.Prefer.ReclaimDeadline.Ms / 2};
+  for (const JobState *Gang : Chosen.Gangs) {
+    Reason Why = reclaimReason(Draft, For, *Gang, Cause);
+    const JobId &Name = Gang->Spec.Job;
+    if (Gang->Spec.Checkpointable && Gang->Phase == JobPhase::Running)
+      Draft.decide(CheckpointGang{Name, Gang->Try, Draft.Now + Grace,
+                                  For.Spec.Job, Cause},
+                   std::move(Why));
+    else
+      Draft.decide(StopGang{Name, Gang->Try, AfterStop::Requeue, For.Spec.Job},
+                   std::move(Why));
+    Draft.markLeaving(*Gang);
+    Draft.Touched.insert(Name);
+  }
+}
+
+bool reclaimUnderCeiling(Plan &Draft, const JobState &For) {
+  const WorkspaceIndex *Workspace =
+      findWorkspace(Draft.Index, For.Spec.Workspace);
+  if (!Workspace || !Workspace->Limits)
+    return false;
+  WorkspaceUse &Use = Draft.use(For.Spec.Workspace);
+  std::int64_t Excess = Use.Used - Use.Leaving + acceleratorsOf(For) -
+                        std::int64_t{Workspace->Limits->CeilingAccelerators};
+  if (Excess <= 0)
+    return true;
+  std::vector<const JobState *> Gangs;
+  for (const DueJob &Due : Workspace->Active) {
+    const JobState &Gang = Draft.job(Due.Job);
+    if (mayPreempt(Draft, Gang, ReclaimKind::Guarantee))
+      Gangs.push_back(&Gang);
+  }
+  const auto Cost = [&Draft](const JobState *Gang) {
+    return std::tuple(lostWork(*Gang, Draft.Now), Gang->Spec.Job);
+  };
+  std::ranges::sort(Gangs, {}, Cost);
+  Victims Chosen;
+  for (const JobState *Gang : Gangs) {
+    if (Excess <= 0)
+      break;
+    Excess -= acceleratorsOf(*Gang);
+    Chosen.Gangs.push_back(Gang);
+  }
+  if (Excess > 0)
+    return false;
+  reclaim(Draft, For, Chosen, ReasonCode::ReclaimedForGuarantee);
+  return true;
+}
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/reclaim.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "pistachioflow/policy/plan.hpp"
+
+namespace pistachioflow::policy {
+
+/// For whom capacity is reclaimed. It says which gangs may be preempted.
+enum class ReclaimKind : std::uint8_t {
+  Guarantee, ///< Any gang that borrows; urgent ones last.
+  Urgent,    ///< Gangs that borrow and are not urgent.
+  Waiting,   ///< Those of Urgent that were not preempted twice yet.
+};
+
+/// The gangs that have to leave a placement.
+struct Victims {
+  std::vector<const JobState *> Gangs;
+  std::int64_t LostWorkMs = 0; ///< Accelerators times unsaved run time.
+};
+
+/// Returns the work that preempting the gang now would lose, in accelerator
+/// milliseconds. A gang that can be asked for a checkpoint loses little.
+std::int64_t lostWork(const JobState &Gang, Instant Now);
+
+/// Chooses the gangs that have to leave so that \p Shape fits at \p At: whole
+/// ones, least lost work first, those preempted twice last. Empty: enough is
+/// free or will be. Nothing: no choice is enough.
+std::optional<Victims> chooseVictims(Plan &Draft, const GangShape &Shape,
+                                     std::span<const SlotShare> At,
+                                     ReclaimKind Kind);
+
+/// Asks the gangs for a checkpoint, or stops those that cannot write one.
+void reclaim(Plan &Draft, const JobState &For, const Victims &Chosen,
+             ReasonCode Cause);
+
+/// Reclaims from the workspace's own borrowed gangs until \p For fits under its
+/// ceiling. Returns whether it will.
+bool reclaimUnderCeiling(Plan &Draft, const JobState &For);
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/reservation.cpp
@@ -0,0 +1,139 @@
+#include "pistachioflow/policy/reservation.hpp"
+
+#include <algorithm>
+
+#include "pistachioflow/policy/capacity.hpp"
+#include "pistachioflow/policy/expected_start.hpp"
+#include "pistachioflow/policy/reasons.hpp"
+#include "pistachioflow/policy/reclaim.hpp"
+#include "pistachioflow/policy/rooms.hpp"
+
+namespace pistachioflow::policy {
+
+namespace {
+
+constexpr std::size_t WorkersPerReservation = 64;
+constexpr Duration ShortestReservation{60'000};
+
+Reason reservedReason(const Plan &Draft, const JobState &Job, ReasonCode Code,
+                      Instant ExpectedStart, std::string PassedOver) {
+  return reasonFor(Draft.State, Job.Spec.Workspace, Code,
+                   {{Measure::AcceleratorsAsked, Job.Spec.Shape.accelerators()},
+                    {Measure::WaitedMs, (Draft.Now - Job.SubmittedAt).Ms},
+                    {Measure::ReservedAtMs, ExpectedStart.Ms}},
+                   std::move(PassedOver));
+}
+
+void endReservation(Plan &Draft, const Reservation &Held, const JobState &Job) {
+  Draft.decide(ReserveFor{Held.Job, {}, Held.ExpectedStart},
+               reservedReason(Draft, Job, ReasonCode::ReservationEnded,
+                              Held.ExpectedStart, "keep the reservation"));
+}
+
+bool startReserved(Plan &Draft, const Reservation &Held, const JobState &Job) {
+  const auto At = placeTightly(Draft, Job.Spec.Shape, roomToBorrow(Draft, Job));
+  if (!At)
+    return false;
+  Draft.start(Job, *At, true,
+              reservedReason(Draft, Job, ReasonCode::PlacedReserved,
+                             Held.ExpectedStart, "fill it with smaller jobs"));
+  return true;
+}
+
+/// Reclaims from the smaller borrowers on the reserved workers.
+bool reclaimReserved(Plan &Draft, const JobState &Job,
+                     std::span<const SlotShare> At) {
+  const auto Chosen =
+      chooseVictims(Draft, Job.Spec.Shape, At, ReclaimKind::Waiting);
+  if (!Chosen)
+    return false;
+  const std::int64_t Largest = acceleratorsOf(Job) / 2;
+  const auto IsSmaller = [Largest](const JobState *Gang) {
+    return acceleratorsOf(*Gang) <= Largest;
+  };
+  if (!std::ranges::all_of(Chosen->Gangs, IsSmaller))
+    return false;
+  reclaim(Draft, Job, *Chosen, ReasonCode::ReclaimedForWaiting);
+  Draft.use(Job.Spec.Workspace).Used += acceleratorsOf(Job);
+  Draft.hold(Job.Spec.Shape, At);
+  Draft.Touched.insert(Job.Spec.Job);
+  return true;
+}
+
+void keep(Plan &Draft, const Reservation &Held, const JobState &Job,
+          Shares At) {
+  Draft.Kept.push_back(
+      {Held.Job, Held.ExpectedStart, Job.Spec.Shape, std::move(At)});
+}
+
+void follow(Plan &Draft, const Reservation &Held) {
+  const JobState &Job = Draft.job(Held.Job);
+  if (Draft.Touched.contains(Held.Job))
+    return;
+  auto At = Draft.shares(Held.Placements);
+  if (!At || !Draft.underCeiling(Job))
+    return endReservation(Draft, Held, Job);
+  if (startReserved(Draft, Held, Job))
+    return;
+  const Instant Latest =
+      std::min(Held.ExpectedStart, Held.MadeAt + MaxReservedWait);
+  const bool Due =
+      Draft.Now >= Latest && Draft.Now - Held.MadeAt >= ShortestReservation;
+  if (Due && reclaimReserved(Draft, Job, *At))
+    return;
+  if (Due)
+    return endReservation(Draft, Held, Job);
+  keep(Draft, Held, Job, std::move(*At));
+}
+
+bool isReserved(const Plan &Draft, const JobId &Name) {
+  const auto &Held = Draft.State.Reservations;
+  return std::ranges::find(Held, Name, &Reservation::Job) != Held.end();
+}
+
+std::int64_t urgencyOf(const Plan &Draft, const JobState &Job) {
+  const Duration Waited = Draft.Now - Job.QueuedAt;
+  return (Waited.Ms + 1) * acceleratorsOf(Job);
+}
+
+/// Returns the blocked job that has waited longest for most, or null.
+const JobState *mostBlocked(Plan &Draft) {
+  const JobState *Chosen = nullptr;
+  for (const auto &[Name, Workspace] : Draft.Index.Workspaces)
+    for (const auto &[Shape, Queue] : Workspace.Queues) {
+      ++Draft.Work.JobsLookedAt;
+      const JobState *Job = Queue.begin()->State;
+      if (Draft.Touched.contains(Job->Spec.Job) ||
+          isReserved(Draft, Job->Spec.Job) || acceleratorsOf(*Job) == 0 ||
+          !Draft.underCeiling(*Job))
+        continue;
+      if (!Chosen || urgencyOf(Draft, *Job) > urgencyOf(Draft, *Chosen))
+        Chosen = Job;
+    }
+  return Chosen;
+}
+
+} // namespace
+
+void decideReserved(Plan &Draft) {
+  for (const Reservation &Held : Draft.State.Reservations)
+    follow(Draft, Held);
+}
+
+void decideReservations(Plan &Draft) {
+  const std::size_t Most = 1 + Draft.Cap.Slots.size() / WorkersPerReservation;
+  if (Draft.State.Reservations.size() >= Most)
+    return;
+  const JobState *Job = mostBlocked(Draft);
+  if (!Job)
+    return;
+  const auto Found = findExpectedStart(Draft, *Job);
+  if (!Found)
+    return;
+  Draft.decide(
+      ReserveFor{Job->Spec.Job, Draft.placements(Found->At), Found->Start},
+      reservedReason(Draft, *Job, ReasonCode::ReservedForLargeJob, Found->Start,
+                     "let smaller jobs go first"));
+}
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/revisions.cpp
@@ -0,0 +1,111 @@
+#include "pistachioflow/policy/revisions.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <vector>
+
+#include "pistachioflow/policy/capacity.hpp"
+#include "pistachioflow/policy/queue_cursor.hpp"
+#include "pistachioflow/policy/reasons.hpp"
+#include "pistachioflow/policy/reclaim.hpp"
+
+namespace pistachioflow::policy {
+
+namespace {
+
+std::int64_t ceilingOf(const WorkspaceIndex &Workspace) {
+  return Workspace.Limits ? Workspace.Limits->CeilingAccelerators : 0;
+}
+
+Reason listsReason(const Plan &Draft, const JobState &Job, ReasonCode Code,
+                   const WorkspaceIndex &Workspace) {
+  return reasonFor(Draft.State, Job.Spec.Workspace, Code,
+                   {{Measure::AcceleratorsAsked, Job.Spec.Shape.accelerators()},
+                    {Measure::AcceleratorsUsed, Workspace.Used},
+                    {Measure::Ceiling, ceilingOf(Workspace)}},
+                   "let it finish under the earlier lists");
+}
+
+/// Returns the gangs that stay, borrowed ones and least lost work first.
+std::vector<const JobState *> stoppable(const Plan &Draft,
+                                        const WorkspaceIndex &Workspace) {
+  std::vector<const JobState *> Gangs;
+  for (const DueJob &Due : Workspace.Active)
+    if (const JobState &Gang = Draft.job(Due.Job);
+        !isLeaving(Gang) && !Draft.Touched.contains(Due.Job))
+      Gangs.push_back(&Gang);
+  std::ranges::sort(Gangs, {}, [&Draft](const JobState *Gang) {
+    return std::tuple(!Gang->Borrowed, lostWork(*Gang, Draft.Now),
+                      Gang->Spec.Job);
+  });
+  return Gangs;
+}
+
+/// A gang without accelerators is never above a ceiling, but needs a plan.
+bool mustStop(const WorkspaceIndex &Workspace, std::int64_t Excess) {
+  return !Workspace.Limits || Excess > 0;
+}
+
+void stopExcess(Plan &Draft, const WorkspaceId &Name,
+                const WorkspaceIndex &Workspace) {
+  WorkspaceUse &Use = Draft.use(Name);
+  std::int64_t Excess = Use.Used - Use.Leaving - ceilingOf(Workspace);
+  for (const JobState *Gang : stoppable(Draft, Workspace)) {
+    if (!mustStop(Workspace, Excess))
+      return;
+    Excess -= acceleratorsOf(*Gang);
+    Draft.decide(
+        StopGang{Gang->Spec.Job, Gang->Try, AfterStop::Requeue, {}},
+        listsReason(Draft, *Gang, ReasonCode::StoppedListsChanged, Workspace));
+    Draft.markLeaving(*Gang);
+    Draft.Touched.insert(Gang->Spec.Job);
+  }
+}
+
+/// Returns why the lists forbid a job that they once admitted, or None.
+ReasonCode whyEnded(const WorkspaceIndex &Workspace, const JobSpec &Spec) {
+  if (!Workspace.Plan)
+    return ReasonCode::RefusedNoPlan;
+  if (!Workspace.Limits)
+    return ReasonCode::RefusedNoLimits;
+  if (Spec.Urgent && !Workspace.Limits->AllowsUrgent)
+    return ReasonCode::RefusedUrgentNotAllowed;
+  if (Spec.Shape.accelerators() > Workspace.Limits->CeilingAccelerators)
+    return ReasonCode::RefusedAboveCeiling;
+  return ReasonCode::None;
+}
+
+/// All jobs of one shape are ruled alike, so one look at each shape is enough.
+void endForbidden(Plan &Draft, const WorkspaceIndex &Workspace,
+                  const std::map<ShapeKey, JobQueue> &Queues) {
+  QueueCursor Queue(Draft, Queues);
+  while (const JobState *Job = Queue.next()) {
+    const ReasonCode Code = whyEnded(Workspace, Job->Spec);
+    ++Draft.Work.JobsLookedAt;
+    if (Code == ReasonCode::None) {
+      Queue.skipShape();
+      continue;
+    }
+    Draft.decide(EndJob{Job->Spec.Job, JobPhase::Refused},
+                 listsReason(Draft, *Job, Code, Workspace));
+    Draft.Touched.insert(Job->Spec.Job);
+  }
+}
+
+} // namespace
+
+void decideRevisions(Plan &Draft) {
+  const Lists &Now = Draft.State.Configuration;
+  if (Now.Plans.At == 0 || Now.Limits.At == 0)
+    return;
+  for (const auto &[Name, Workspace] : Draft.Index.Workspaces) {
+    const WorkspaceUse &Use = Draft.use(Name);
+    if (Use.Used - Use.Leaving > ceilingOf(Workspace) ||
+        (!Workspace.Limits && !Workspace.Active.empty()))
+      stopExcess(Draft, Name, Workspace);
+    endForbidden(Draft, Workspace, Workspace.Queues);
+    endForbidden(Draft, Workspace, Workspace.UrgentQueues);
+  }
+}
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/revisions.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "pistachioflow/policy/plan.hpp"
+
+namespace pistachioflow::policy {
+
+/// Brings the cell under the lists in force: stops gangs above a ceiling or
+/// without a plan, and ends queued jobs that the lists now forbid.
+void decideRevisions(Plan &Draft);
+
+} // namespace pistachioflow::policy
--- a/src/pistachioflow/policy/rooms.cpp
+++ b/src/pistachioflow/policy/rooms.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "pistachioflow/policy/queue_order.hpp"
+
 namespace pistachioflow::policy {
 
 namespace {
@@ -13,17 +15,12 @@
 constexpr double IdleHomeCost = 8;
 constexpr double CostScale = 1'000;
 
+/// What one reclaimed accelerator costs, in reclaimed cores.
+constexpr std::int64_t ReclaimedCost = 1'000;
+
 /// From this weight on, gangs fill up nearly full workers first.
 constexpr double FragmentsFirstWeight = 0.5;
 
-void leaveOutFailed(const Plan &Draft, const JobState &Job, Rooms &Room) {
-  for (const WorkerId &Worker : Job.FailedOn) {
-    const auto Slot = Draft.Index.SlotOf.find(Worker);
-    if (Slot != Draft.Index.SlotOf.end())
-      Room[Slot->second] = {};
-  }
-}
-
 /// Counts the accelerators of idle homes that the share would borrow.
 std::int64_t idleHomeUse(const WorkerSlot &Slot, std::int64_t Used) {
   const std::int64_t Idle =
@@ -33,6 +30,12 @@
   return std::clamp<std::int64_t>(Used - Plain, 0, Used);
 }
 
+void takeKept(const KeptShare &Kept, Rooms &Room) {
+  for (const SlotShare &Share : Kept.At)
+    Room[Share.Slot] =
+        most(Room[Share.Slot] - perTask(Kept.Shape) * Share.Tasks, {});
+}
+
 double costOf(const Plan &Draft, const GangShape &Shape, const Rooms &Room,
               std::span<const SlotShare> At) {
   double LeftOnWorkers = 0;
@@ -60,15 +63,65 @@
 
 } // namespace
 
-Rooms roomToBorrow(const Plan &Draft, const JobState &Job) {
+void leaveOutFailed(const Plan &Draft, const JobState &Job, Rooms &Room) {
+  for (const WorkerId &Worker : Job.FailedOn) {
+    const auto Slot = Draft.Index.SlotOf.find(Worker);
+    if (Slot != Draft.Index.SlotOf.end())
+      Room[Slot->second] = {};
+  }
+}
+
+std::optional<Shares> placeWithReclaim(Plan &Draft, const JobState &Job) {
+  Rooms Room;
+  Room.reserve(Draft.Cap.Slots.size());
+  for (SlotIndex At = 0; At < Draft.Cap.Slots.size(); ++At) {
+    const WorkerSlot &Slot = Draft.Cap.Slots[At];
+    const Amount There =
+        Slot.Free + Slot.Coming + Slot.Preemptible - Draft.Held[At];
+    Room.push_back(Slot.Usable ? most(There, {}) : Amount{});
+  }
+  leaveOutFailed(Draft, Job, Room);
+  const GangShape &Shape = Job.Spec.Shape;
+  const auto Cost = [&](std::span<const SlotShare> Shared) {
+    std::int64_t Sum = 0;
+    for (const SlotShare &Share : Shared) {
+      const WorkerSlot &Slot = Draft.Cap.Slots[Share.Slot];
+      const Amount There = Slot.Free + Slot.Coming - Draft.Held[Share.Slot];
+      const Amount Short = most(perTask(Shape) * Share.Tasks - There, {});
+      Sum += Short.Accelerators * ReclaimedCost + Short.Cores;
+    }
+    return Sum;
+  };
+  return findPlacement({Draft.Cap, Shape, Room}, Cost,
+                       Draft.Work.PlacementsWeighed);
+}
+
+Rooms roomOfFree(const Plan &Draft, const JobState &Job) {
   Rooms Room;
   Room.reserve(Draft.Cap.Slots.size());
   for (SlotIndex Slot = 0; Slot < Draft.Cap.Slots.size(); ++Slot)
-    Room.push_back(most(Draft.freeOn(Slot) - Draft.Kept[Slot], {}));
+    Room.push_back(Draft.freeOn(Slot));
   leaveOutFailed(Draft, Job, Room);
   return Room;
 }
 
+Rooms roomToBorrow(const Plan &Draft, const JobState &Job) {
+  Rooms Room = roomOfFree(Draft, Job);
+  for (const KeptShare &Kept : Draft.Kept)
+    if (Kept.For != Job.Spec.Job)
+      takeKept(Kept, Room);
+  return Room;
+}
+
+Rooms roomToBackfill(const Plan &Draft, const JobState &Job) {
+  const Instant End = Draft.Now + remainingRuntime(Job);
+  Rooms Room = roomOfFree(Draft, Job);
+  for (const KeptShare &Kept : Draft.Kept)
+    if (Kept.For != Job.Spec.Job && Kept.ExpectedStart < End)
+      takeKept(Kept, Room);
+  return Room;
+}
+
 std::optional<Shares> placeTightly(Plan &Draft, const GangShape &Shape,
                                    const Rooms &Room) {
   const auto Cost = [&](std::span<const SlotShare> At) {
--- a/src/pistachioflow/policy/rooms.hpp
+++ b/src/pistachioflow/policy/rooms.hpp
@@ -13,9 +13,23 @@
 using Rooms = std::vector<Amount>;
 
 /// Returns what is free for a job that borrows: without what waiting jobs and
-/// reservations keep, and without workers where the job failed.
+/// the reservations of other jobs keep, and without workers where it failed.
 Rooms roomToBorrow(const Plan &Draft, const JobState &Job);
 
+/// Returns the same with what is kept for reservations that the job lets pass,
+/// since it is expected to end before them.
+Rooms roomToBackfill(const Plan &Draft, const JobState &Job);
+
+/// Returns what is free, reservations included.
+Rooms roomOfFree(const Plan &Draft, const JobState &Job);
+
+/// Takes the workers where the job has failed out of \p Room.
+void leaveOutFailed(const Plan &Draft, const JobState &Job, Rooms &Room);
+
+/// Finds a place for the gang that is free once borrowers that are not urgent
+/// have left: where least has to be reclaimed.
+std::optional<Shares> placeWithReclaim(Plan &Draft, const JobState &Job);
+
 /// Finds a place in \p Room that leaves the least fragments and uses the least
 /// of the idle homes, weighed by the settings.
 std::optional<Shares> placeTightly(Plan &Draft, const GangShape &Shape,
--- a/src/pistachioflow/policy/sharing.cpp
+++ b/src/pistachioflow/policy/sharing.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// Bounds the jobs that one call looks at in vain although others of their
+/// shape may fit.
+constexpr std::size_t MaxMisses = 64;
+
 /// One workspace that still may have a job to start.
 struct Sharer {
   const WorkspaceId *Name = nullptr;
@@ -44,30 +48,45 @@
   return Chosen;
 }
 
-bool startBorrowing(Plan &Draft, const JobState &Job) {
-  if (!Draft.underCeiling(Job))
-    return false;
-  const Rooms Room = roomToBorrow(Draft, Job);
-  const auto At = placeTightly(Draft, Job.Spec.Shape, Room);
-  if (!At)
-    return false;
+Reason borrowReason(Plan &Draft, const JobState &Job, ReasonCode Code) {
   const WorkspaceUse &Use = Draft.use(Job.Spec.Workspace);
-  Reason Why =
-      reasonFor(Draft.State, Job.Spec.Workspace, ReasonCode::PlacedBorrowing,
-                {{Measure::AcceleratorsAsked, Job.Spec.Shape.accelerators()},
-                 {Measure::AcceleratorsUsed, Use.Used},
-                 {Measure::WaitedMs, (Draft.Now - Job.SubmittedAt).Ms},
-                 {Measure::ExpectedRuntimeMs, Job.ExpectedRuntime.Ms}},
-                "keep it queued");
-  Draft.start(Job, *At, true, std::move(Why));
-  return true;
+  return reasonFor(Draft.State, Job.Spec.Workspace, Code,
+                   {{Measure::AcceleratorsAsked, Job.Spec.Shape.accelerators()},
+                    {Measure::AcceleratorsUsed, Use.Used},
+                    {Measure::WaitedMs, (Draft.Now - Job.SubmittedAt).Ms},
+                    {Measure::ExpectedRuntimeMs, Job.ExpectedRuntime.Ms}},
+                   "keep it queued");
+}
+
+enum class Outcome { Started, NoRoom, NoRoomForShape };
+
+Outcome startBorrowing(Plan &Draft, const JobState &Job) {
+  if (!Draft.underCeiling(Job))
+    return Outcome::NoRoomForShape;
+  const GangShape &Shape = Job.Spec.Shape;
+  if (const auto At = placeTightly(Draft, Shape, roomToBorrow(Draft, Job))) {
+    Draft.start(Job, *At, true,
+                borrowReason(Draft, Job, ReasonCode::PlacedBorrowing));
+    return Outcome::Started;
+  }
+  if (Draft.Kept.empty())
+    return Outcome::NoRoomForShape;
+  if (const auto At = placeTightly(Draft, Shape, roomToBackfill(Draft, Job))) {
+    Draft.start(Job, *At, true,
+                borrowReason(Draft, Job, ReasonCode::PlacedBackfill));
+    return Outcome::Started;
+  }
+  const bool OthersMayFit =
+      placeTightly(Draft, Shape, roomOfFree(Draft, Job)).has_value();
+  return OthersMayFit ? Outcome::NoRoom : Outcome::NoRoomForShape;
 }
 
 } // namespace
 
 void decideShared(Plan &Draft) {
   std::vector<Sharer> Sharers = sharersOf(Draft);
-  while (!Sharers.empty()) {
+  std::size_t Misses = 0;
+  while (!Sharers.empty() && Misses < MaxMisses) {
     const std::size_t Chosen = nextSharer(Draft, Sharers);
     Sharer &Next = Sharers[Chosen];
     const JobState *Job = Next.Queue.next();
@@ -76,8 +95,11 @@
       continue;
     }
     ++Draft.Work.JobsLookedAt;
-    if (!startBorrowing(Draft, *Job) && Job->FailedOn.empty())
+    const Outcome Became = startBorrowing(Draft, *Job);
+    if (Became == Outcome::NoRoomForShape && Job->FailedOn.empty())
       Next.Queue.skipShape();
+    else if (Became != Outcome::Started)
+      ++Misses;
   }
 }
 
--- a/src/pistachioflow/policy/test_cell.hpp
+++ b/src/pistachioflow/policy/test_cell.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "pistachioflow/policy/cell.hpp"
+#include "pistachioflow/policy/checker.hpp"
 
 namespace pistachioflow::policy::test {
 
@@ -57,12 +59,13 @@
           {600'000}, false,       false};
 }
 
-/// A cell that is driven fact by fact in virtual time.
+/// A cell that is driven fact by fact in virtual time, and checked after each.
 struct TestCell {
   CellState State;
   Settings Prefer;
   Instant Now{1'000};
   std::vector<Decision> Last;
+  Checker Check{Settings{}};
 
   explicit TestCell(const CellShape &Of, const Lists &Configuration) {
     for (const WorkerInfo &Worker : workersOf(Of))
@@ -71,7 +74,14 @@
   }
 
   std::vector<Decision> &tell(const Event &Fact) {
-    return this->Last = step(this->State, Fact, this->Prefer, this->Now);
+    this->Check.observed(Fact, this->Now);
+    this->Last = step(this->State, Fact, this->Prefer, this->Now);
+    for (const Decision &Made : this->Last)
+      this->Check.decided(Made, this->Now);
+    this->Check.settled(this->State, this->Now);
+    if (!this->Check.violations().empty())
+      throw std::logic_error(formatFindings(this->Check.violations()));
+    return this->Last;
   }
 
   std::vector<Decision> &pass(Duration Time) {
--- /dev/null
+++ b/src/pistachioflow/policy/urgent.cpp
@@ -0,0 +1,70 @@
+#include "pistachioflow/policy/urgent.hpp"
+
+#include <algorithm>
+#include <vector>
+
+#include "pistachioflow/policy/capacity.hpp"
+#include "pistachioflow/policy/queue_cursor.hpp"
+#include "pistachioflow/policy/reasons.hpp"
+#include "pistachioflow/policy/reclaim.hpp"
+#include "pistachioflow/policy/rooms.hpp"
+
+namespace pistachioflow::policy {
+
+namespace {
+
+/// Bounds the urgent jobs of one workspace that one call looks at.
+constexpr std::size_t MaxUrgentJobs = 64;
+
+std::vector<const JobState *> urgentJobs(const Plan &Draft) {
+  std::vector<const JobState *> Jobs;
+  for (const auto &[Name, Workspace] : Draft.Index.Workspaces) {
+    if (!Workspace.Limits || Workspace.UrgentQueues.empty())
+      continue;
+    QueueCursor Queue(Draft, Workspace.UrgentQueues);
+    for (std::size_t Count = 0; Count < MaxUrgentJobs; ++Count)
+      if (const JobState *Job = Queue.next())
+        Jobs.push_back(Job);
+  }
+  std::ranges::stable_sort(Jobs, {}, &JobState::SubmittedAt);
+  return Jobs;
+}
+
+void startUrgent(Plan &Draft, const JobState &Job, const Shares &At) {
+  Draft.start(
+      Job, At, true,
+      reasonFor(Draft.State, Job.Spec.Workspace, ReasonCode::PlacedUrgent,
+                {{Measure::AcceleratorsAsked, Job.Spec.Shape.accelerators()},
+                 {Measure::WaitedMs, (Draft.Now - Job.SubmittedAt).Ms}},
+                "wait for its turn"));
+}
+
+void decideOne(Plan &Draft, const JobState &Job) {
+  if (!Draft.underCeiling(Job))
+    return;
+  const auto Free = placeTightly(Draft, Job.Spec.Shape, roomOfFree(Draft, Job));
+  if (Free)
+    return startUrgent(Draft, Job, *Free);
+  const auto At = placeWithReclaim(Draft, Job);
+  if (!At)
+    return;
+  const auto Chosen =
+      chooseVictims(Draft, Job.Spec.Shape, *At, ReclaimKind::Urgent);
+  if (!Chosen)
+    return;
+  reclaim(Draft, Job, *Chosen, ReasonCode::ReclaimedForUrgent);
+  Draft.use(Job.Spec.Workspace).Used += acceleratorsOf(Job);
+  Draft.hold(Job.Spec.Shape, *At);
+  Draft.Touched.insert(Job.Spec.Job);
+}
+
+} // namespace
+
+void decideUrgent(Plan &Draft) {
+  for (const JobState *Job : urgentJobs(Draft)) {
+    ++Draft.Work.JobsLookedAt;
+    decideOne(Draft, *Job);
+  }
+}
+
+} // namespace pistachioflow::policy
--- /dev/null
+++ b/src/pistachioflow/policy/urgent.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "pistachioflow/policy/plan.hpp"
+
+namespace pistachioflow::policy {
+
+/// Starts urgent jobs, oldest first, on anything that is free, reservations
+/// included; where nothing is, reclaims from borrowers that are not urgent.
+void decideUrgent(Plan &Draft);
+
+} // namespace pistachioflow::policy
