Let list files hold comments and report what is not JSON

Cause: the demo's list files are commented as the settings are; the API refused them, since its bodies hold none. pistachioctl now parses the file with comments, and sends it without.

--- a/src/pistachioflow/ctl/list_commands.cpp
+++ b/src/pistachioflow/ctl/list_commands.cpp
@@ -47,6 +47,10 @@
   if (!readFile(File, Text))
     return ExitCode::Usage;
   const json List = json::parse(Text, nullptr, false, true);
+  if (List.is_discarded()) {
+    std::cerr << File << ": is not JSON (comments are allowed)\n";
+    return ExitCode::Usage;
+  }
   const std::string Base = baseOf(Flags, List);
   if (Base.empty()) {
     std::cerr << "name the revision that the edit is based on: --base, or "
@@ -55,7 +59,7 @@
   }
   return sendAndPrint(Flags, {.Method = std::string(Method),
                               .Path = std::string(Path),
-                              .Body = Text,
+                              .Body = List.dump(),
                               .Headers = editHeaders(Flags, Base)});
 }
 
