Let a time line event name whom else it concerns

Cause: a start concerns a job, its workspace and its workers, and an event had room for one subject only, so that a time line of one worker would miss it. Change: TimelineEvent carries a list of further subjects, and its JSON too. Run: codec_tests passes.

--- a/include/pistachioflow/model/timeline.hpp
+++ b/include/pistachioflow/model/timeline.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <msgpack.hpp>
 
@@ -23,6 +24,21 @@
   List,
 };
 
+} // namespace pistachioflow
+
+MSGPACK_ADD_ENUM(pistachioflow::SubjectKind)
+
+namespace pistachioflow {
+
+/// Something that an event is about besides its subject.
+struct SubjectRef {
+  SubjectKind Kind = SubjectKind::Job;
+  std::string Name;
+
+  bool operator==(const SubjectRef &) const = default;
+  MSGPACK_DEFINE(Kind, Name)
+};
+
 /// One action of the system, as the time line and the explanations show it.
 struct TimelineEvent {
   Instant Wall;         ///< The author's wall clock.
@@ -34,11 +50,10 @@
   std::string Subject;
   std::string What; ///< A few words: "start on worker-1, worker-2".
   Reason Why;
+  std::vector<SubjectRef> Also = {}; ///< Whom else it concerns.
 
   MSGPACK_DEFINE(Wall, Instance, Stream, At, OwnerEpoch, Kind, Subject, What,
-                 Why)
+                 Why, Also)
 };
 
 } // namespace pistachioflow
-
-MSGPACK_ADD_ENUM(pistachioflow::SubjectKind)
--- a/src/pistachioflow/codec/event_json.cpp
+++ b/src/pistachioflow/codec/event_json.cpp
@@ -37,6 +37,18 @@
   return Read;
 }
 
+json toJson(const SubjectRef &Value) {
+  return {{"kind", nameOf(Value.Kind)}, {"name", Value.Name}};
+}
+
+SubjectRef readSubjectRef(ObjectReader In) {
+  SubjectRef Read;
+  Read.Kind = In.choice<SubjectKind>("kind");
+  Read.Name = In.text("name", TextRule::Free);
+  In.finish();
+  return Read;
+}
+
 } // namespace
 
 json toJson(const Reason &Value) {
@@ -99,11 +111,14 @@
 }
 
 json toJson(const TimelineEvent &Value) {
+  json Also = json::array();
+  for (const SubjectRef &Item : Value.Also)
+    Also.push_back(toJson(Item));
   return {{"wall_ms", Value.Wall.Ms},     {"instance", Value.Instance.Value},
           {"stream", Value.Stream.Value}, {"offset", Value.At},
           {"epoch", Value.OwnerEpoch},    {"kind", nameOf(Value.Kind)},
           {"subject", Value.Subject},     {"what", Value.What},
-          {"reason", toJson(Value.Why)}};
+          {"reason", toJson(Value.Why)},  {"also", std::move(Also)}};
 }
 
 TimelineEvent readTimelineEvent(ObjectReader In) {
@@ -117,6 +132,8 @@
   Read.Subject = In.text("subject", TextRule::Free);
   Read.What = In.text("what", TextRule::Free);
   Read.Why = readReason(In.object("reason"));
+  for (const ObjectReader &Item : In.objects("also", MaxItems, false))
+    Read.Also.push_back(readSubjectRef(Item));
   In.finish();
   return Read;
 }
--- a/src/pistachioflow/codec/model_json_test.cpp
+++ b/src/pistachioflow/codec/model_json_test.cpp
@@ -22,7 +22,8 @@
           {ReasonCode::PlacedBorrowing,
            {{ListKind::Limits, "gold", 4}},
            {{Measure::AcceleratorsFree, -12}},
-           "worker-2"}};
+           "worker-2"},
+          {{SubjectKind::Worker, "worker-1"}}};
 }
 
 } // namespace
@@ -54,6 +55,7 @@
   CHECK(After.value().At == Before.At);
   CHECK(After.value().Why == Before.Why);
   CHECK(After.value().What == Before.What);
+  CHECK(After.value().Also == Before.Also);
 }
 
 TEST_CASE("a caller's deadline counts from now") {
