--- a/src/pistachioflow/codec/enum_names.cpp
+++ b/src/pistachioflow/codec/enum_names.cpp
@@ -98,6 +98,10 @@
       {Measure::RequestLimit, "request_limit"},
       {Measure::CheckpointAgeMs, "checkpoint_age_ms"},
       {Measure::ReservedAtMs, "reserved_at_ms"},
+      {Measure::ExpectedRuntimeMs, "expected_runtime_ms"},
+      {Measure::Preemptions, "preemptions"},
+      {Measure::Workers, "workers"},
+      {Measure::Homes, "homes"},
   });
   return Names;
 }
--- a/src/pistachioflow/codec/reason_table.cpp
+++ b/src/pistachioflow/codec/reason_table.cpp
@@ -56,6 +56,12 @@
     {ReasonCode::MovedToJoinFragments, "moved_to_join_fragments",
      "A borrowing job was moved so that free accelerators become adjacent.",
      "limits: guarantees of the plan, so that the job is not a borrower"},
+    {ReasonCode::PlacedReserved, "placed_reserved",
+     "The job runs on the workers that were reserved for it.",
+     "limits: weight of the plan, to change whose turn comes first"},
+    {ReasonCode::ReservationEnded, "reservation_ended",
+     "The reservation is no longer needed, so its workers are free for others.",
+     Nothing},
     {ReasonCode::ReclaimedForGuarantee, "reclaimed_for_guarantee",
      "A borrowing job gave its accelerators back to a workspace that needs its "
      "guarantee.",
@@ -89,6 +95,9 @@
      "A task uses more processors than its job declared, to the harm of its "
      "neighbours.",
      "nothing in the lists; declare the cores that the job uses"},
+    {ReasonCode::ReclaimedForWaiting, "reclaimed_for_waiting",
+     "A borrowing job was preempted by a job that has waited too long.",
+     "limits: guarantees of the plan, so that the job is not a borrower"},
     {ReasonCode::QuarantinedFailsTasks, "quarantined_fails_tasks",
      "The worker failed tasks of several different jobs, so it gets no new "
      "ones for a time.",
--- a/src/pistachioflow/platform/wire.cpp
+++ b/src/pistachioflow/platform/wire.cpp
@@ -2,6 +2,8 @@
 
 #include <msgpack.hpp>
 
+#include "pistachioflow/base/bounded_msgpack.hpp"
+
 namespace pistachioflow {
 
 namespace {
@@ -46,6 +48,8 @@
 }
 
 Result<LogPage> decodePage(std::string_view Bytes) {
+  if (!isBoundedMsgpack(Bytes))
+    return Error{ErrorCode::InvalidInput, "damaged page of the log", {}};
   try {
     const msgpack::object_handle Handle =
         msgpack::unpack(Bytes.data(), Bytes.size());
