--- a/include/pistachioflow/model/reason.hpp
+++ b/include/pistachioflow/model/reason.hpp
@@ -65,6 +65,9 @@
   LogUnavailable = 604,
   ConfigTooOld = 605,
   InstanceLeaving = 606,
+  OwnershipRenewed = 607,
+  SnapshotWritten = 608,
+  UsageObserved = 609,
   // Requests.
   RequestDone = 700,
   RequestRefusedLimit = 701,
