--- a/include/pistachioflow/policy/checker.hpp
+++ b/include/pistachioflow/policy/checker.hpp
@@ -87,7 +87,7 @@
   const LimitsEntry *limitsOf(const WorkspaceId &Workspace) const;
   Use useOf(const Worker &On) const;
   std::map<WorkerId, Use> homeRoom(const WorkspaceId &Workspace) const;
-  bool hasIdleHome(const WorkspaceId &Workspace, const GangShape &Shape) const;
+  std::vector<GangShape> idleShapes(const WorkspaceId &Workspace) const;
 
   static Use share(const GangShape &Shape, std::int64_t Tasks);
   static bool within(const Use &Part, const Use &Whole);
--- a/src/pistachioflow/policy/checker_rules.cpp
+++ b/src/pistachioflow/policy/checker_rules.cpp
@@ -141,29 +141,36 @@
   }
 }
 
-bool Checker::hasIdleHome(const WorkspaceId &Workspace,
-                          const GangShape &Shape) const {
+std::vector<GangShape> Checker::idleShapes(const WorkspaceId &Workspace) const {
   const auto Room = this->homeRoom(Workspace);
-  return std::ranges::any_of(this->Homes, [&](const Home &Of) {
-    if (Of.Workspace != Workspace || Of.Shape != Shape)
-      return false;
-    return std::ranges::all_of(Of.Placements, [&](const Placement &Place) {
-      return within(share(Shape, Place.Tasks), Room.at(Place.Worker));
-    });
-  });
+  std::vector<GangShape> Shapes;
+  for (const Home &Of : this->Homes) {
+    const auto HasRoom = [&](const Placement &Place) {
+      return within(share(Of.Shape, Place.Tasks), Room.at(Place.Worker));
+    };
+    if (Of.Workspace == Workspace &&
+        std::ranges::all_of(Of.Placements, HasRoom))
+      Shapes.push_back(Of.Shape);
+  }
+  return Shapes;
 }
 
 void Checker::checkReclaims(const CellState &State, Instant At) {
+  std::map<WorkspaceId, std::vector<GangShape>> Idle;
+  for (const Home &Of : this->Homes)
+    if (!Idle.contains(Of.Workspace))
+      Idle[Of.Workspace] = this->idleShapes(Of.Workspace);
   std::set<WorkspaceId> Open;
   for (const JobId &Name : this->Waiting) {
     const Job &Waits = this->Jobs.at(Name);
-    const auto Known = State.Jobs.find(Name);
-    if (Waits.Cancelled || Known == State.Jobs.end() ||
-        Known->second.NotBefore > At || !Known->second.FailedOn.empty())
-      continue;
-    if (Open.contains(Waits.Spec.Workspace))
+    const auto Shapes = Idle.find(Waits.Spec.Workspace);
+    if (Shapes == Idle.end() ||
+        std::ranges::find(Shapes->second, Waits.Spec.Shape) ==
+            Shapes->second.end())
       continue;
-    if (this->hasIdleHome(Waits.Spec.Workspace, Waits.Spec.Shape))
+    const auto Known = State.Jobs.find(Name);
+    if (!Waits.Cancelled && Known != State.Jobs.end() &&
+        Known->second.NotBefore <= At && Known->second.FailedOn.empty())
       Open.insert(Waits.Spec.Workspace);
   }
   std::erase_if(this->Demands, [&Open](const auto &Entry) {
--- a/src/pistachioflow/policy/guaranteed.cpp
+++ b/src/pistachioflow/policy/guaranteed.cpp
@@ -43,23 +43,6 @@
                    "borrow elsewhere");
 }
 
-/// Prefers the part of the homes that lacks least.
-std::optional<Shares> placeInHomes(Plan &Draft, const GangShape &Shape,
-                                   const Rooms &Room) {
-  const auto Cost = [&](std::span<const SlotShare> At) {
-    std::int64_t Lacks = 0;
-    for (const SlotShare &Share : At) {
-      const WorkerSlot &Slot = Draft.Cap.Slots[Share.Slot];
-      const Amount There = Slot.Free + Slot.Coming - Draft.Held[Share.Slot];
-      const Amount Short = most(perTask(Shape) * Share.Tasks - There, {});
-      Lacks += Short.Accelerators * 1'000 + Short.Cores;
-    }
-    return Lacks;
-  };
-  return findPlacement({Draft.Cap, Shape, Room}, Cost,
-                       Draft.Work.PlacementsWeighed);
-}
-
 /// Keeps the capacity and the share of the guarantee for the waiting job.
 void waitAt(Plan &Draft, const JobState &Job, std::span<const SlotShare> At) {
   WorkspaceUse &Use = Draft.use(Job.Spec.Workspace);
@@ -146,18 +129,19 @@
       return Outcome::Taken;
     }
   }
-  const auto At = placeInHomes(Draft, Job.Spec.Shape, Idle);
-  if (!At)
-    return Outcome::NoRoom;
-  if (!reclaimUnderCeiling(Draft, Job))
+  auto Place =
+      placeWithReclaim(Draft, Job.Spec.Shape, Idle, ReclaimKind::Guarantee);
+  if (!Place || !reclaimUnderCeiling(Draft, Job))
     return Outcome::NoRoom;
   if (Under && moveHome(Draft, Job))
     return Outcome::Taken;
-  const auto Chosen =
-      chooseVictims(Draft, Job.Spec.Shape, *At, ReclaimKind::Guarantee);
-  if (Chosen)
-    reclaim(Draft, Job, *Chosen, ReasonCode::ReclaimedForGuarantee);
-  waitAt(Draft, Job, *At);
+  if (!Under)
+    Place =
+        placeWithReclaim(Draft, Job.Spec.Shape, Idle, ReclaimKind::Guarantee);
+  if (!Place)
+    return Outcome::NoRoom;
+  reclaim(Draft, Job, Place->Leaving, ReasonCode::ReclaimedForGuarantee);
+  waitAt(Draft, Job, Place->At);
   return Outcome::Taken;
 }
 
--- a/src/pistachioflow/policy/placement.cpp
+++ b/src/pistachioflow/policy/placement.cpp
@@ -61,6 +61,13 @@
   return Sum;
 }
 
+std::int64_t tasksOf(const Shares &Placement) {
+  std::int64_t Sum = 0;
+  for (const SlotShare &Share : Placement)
+    Sum += Share.Tasks;
+  return Sum;
+}
+
 /// Moves the worker that should take the next tasks to the front of \p Fits:
 /// the tightest that takes all of \p Left, else the one with most room (or
 /// least, where fragments go first).
@@ -81,24 +88,55 @@
   std::swap(Fits.front(), Fits[Chosen]);
 }
 
-Shares inSlotOrder(Shares Placement) {
-  std::ranges::sort(Placement, {}, &SlotShare::Slot);
-  return Placement;
+void addShare(Shares &Placement, SlotFit &Fit, std::int64_t Tasks) {
+  Fit.Tasks -= Tasks;
+  const auto Count = static_cast<std::uint32_t>(Tasks);
+  const auto Known = std::ranges::find(Placement, Fit.Slot, &SlotShare::Slot);
+  if (Known != Placement.end())
+    Known->Tasks += Count;
+  else
+    Placement.push_back({Fit.Slot, Count});
 }
 
-/// Spreads the gang over \p Fits. Precondition: they have room for it.
-Shares spread(const PlacementSearch &Search, std::vector<SlotFit> Fits) {
-  Shares Placement;
-  std::int64_t Left = Search.Shape.Tasks;
+/// Spreads the tasks that \p Placement lacks over \p Fits. Precondition: they
+/// have room.
+Shares spread(const PlacementSearch &Search, std::vector<SlotFit> Fits,
+              Shares Placement) {
+  std::int64_t Left = Search.Shape.Tasks - tasksOf(Placement);
   while (Left > 0) {
     chooseNext(Fits, Left, Search.FragmentsFirst);
     const std::int64_t Taken = std::min(Fits.front().Tasks, Left);
-    Placement.push_back({Fits.front().Slot, static_cast<std::uint32_t>(Taken)});
+    addShare(Placement, Fits.front(), Taken);
     Left -= Taken;
     std::swap(Fits.front(), Fits.back());
     Fits.pop_back();
   }
-  return inSlotOrder(std::move(Placement));
+  std::ranges::sort(Placement, {}, &SlotShare::Slot);
+  return Placement;
+}
+
+/// Gives one task to each of racks [First, Last), so that the gang skips none.
+/// One or two racks need no such care: fewer of them had no room. Returns
+/// nothing where a rack has no room or there are too few tasks.
+std::optional<Shares> touchRacks(const PlacementSearch &Search,
+                                 std::vector<SlotFit> &Fits,
+                                 std::uint32_t First, std::uint32_t Last) {
+  Shares Placement;
+  if (Last - First <= 2)
+    return Placement;
+  if (Last - First > Search.Shape.Tasks)
+    return std::nullopt;
+  for (std::uint32_t Rack = First; Rack < Last; ++Rack) {
+    const auto Fit = std::ranges::find_if(Fits, [&](const SlotFit &At) {
+      return Search.Cap.Slots[At.Slot].Rack == Rack;
+    });
+    if (Fit == Fits.end())
+      return std::nullopt;
+    addShare(Placement, *Fit, 1);
+    if (Fit->Tasks == 0)
+      Fits.erase(Fit);
+  }
+  return Placement;
 }
 
 void searchWorkers(const PlacementSearch &Search, Best &Found) {
@@ -119,8 +157,11 @@
       if (Racks[Last - 1].Position - Racks[First].Position != Length - 1)
         continue;
       std::vector<SlotFit> Fits = fitsIn(Search, First, Last);
-      if (sumOf(Fits) >= Search.Shape.Tasks)
-        Found.offer(spread(Search, std::move(Fits)));
+      if (sumOf(Fits) < Search.Shape.Tasks)
+        continue;
+      auto Touched = touchRacks(Search, Fits, First, Last);
+      if (Touched)
+        Found.offer(spread(Search, std::move(Fits), std::move(*Touched)));
     }
 }
 
@@ -135,7 +176,7 @@
   for (const DomainSlot &Domain : Search.Cap.Domains) {
     std::vector<SlotFit> Fits = fitsIn(Search, Domain.First, Domain.Last);
     if (sumOf(Fits) >= Search.Shape.Tasks)
-      Found.offer(spread(Search, std::move(Fits)));
+      Found.offer(spread(Search, std::move(Fits), {}));
   }
 }
 
--- a/src/pistachioflow/policy/reclaim.cpp
+++ b/src/pistachioflow/policy/reclaim.cpp
@@ -17,6 +17,12 @@
 /// What a checkpoint and the start from it cost each accelerator.
 constexpr Duration CheckpointCost{30'000};
 
+/// Bounds the placements whose victims are weighed.
+constexpr std::size_t MaxPlacesWeighed = 32;
+
+/// What one lacking accelerator counts, in lacking cores.
+constexpr std::int64_t LackingAcceleratorCost = 1'000;
+
 using Shortage = std::map<SlotIndex, Amount>;
 
 bool mayPreempt(const Plan &Draft, const JobState &Gang, ReclaimKind Kind) {
@@ -43,6 +49,20 @@
   return Short;
 }
 
+/// A placement and how much of it is not free and will not be.
+struct Lacking {
+  std::int64_t Lacks = 0;
+  Shares At;
+};
+
+std::int64_t lackOf(const Plan &Draft, const GangShape &Shape,
+                    std::span<const SlotShare> At) {
+  std::int64_t Sum = 0;
+  for (const auto &[Slot, Lacks] : shortageOf(Draft, Shape, At))
+    Sum += Lacks.Accelerators * LackingAcceleratorCost + Lacks.Cores;
+  return Sum;
+}
+
 std::vector<const JobState *> candidatesOn(Plan &Draft, const Shortage &Short,
                                            ReclaimKind Kind) {
   std::vector<const JobState *> Gangs;
@@ -83,6 +103,11 @@
       Short, [](const auto &Lacks) { return covers({}, Lacks.second); });
 }
 
+bool isCheaper(const Victims &Left, const Victims &Right) {
+  return std::tuple(Left.Often, Left.LostWorkMs) <
+         std::tuple(Right.Often, Right.LostWorkMs);
+}
+
 /// Drops the dearest gangs that the others make unnecessary.
 void prune(const Plan &Draft, Shortage &Short,
            std::vector<const JobState *> &Gangs) {
@@ -137,11 +162,39 @@
   if (!isMet(Short))
     return std::nullopt;
   prune(Draft, Short, Chosen.Gangs);
-  for (const JobState *Gang : Chosen.Gangs)
+  for (const JobState *Gang : Chosen.Gangs) {
     Chosen.LostWorkMs += lostWork(*Gang, Draft.Now);
+    Chosen.Often += Gang->Preemptions >= ManyPreemptions;
+  }
   return Chosen;
 }
 
+std::optional<ReclaimedPlace> placeWithReclaim(Plan &Draft,
+                                               const GangShape &Shape,
+                                               std::span<const Amount> Room,
+                                               ReclaimKind Kind) {
+  std::vector<Lacking> Places;
+  const auto Collect = [&](std::span<const SlotShare> At) {
+    Places.push_back({lackOf(Draft, Shape, At), {At.begin(), At.end()}});
+    return Places.back().Lacks;
+  };
+  findPlacement({Draft.Cap, Shape, Room}, Collect,
+                Draft.Work.PlacementsWeighed);
+  std::ranges::stable_sort(Places, {}, &Lacking::Lacks);
+  if (Places.size() > MaxPlacesWeighed)
+    Places.resize(MaxPlacesWeighed);
+  std::optional<ReclaimedPlace> Best;
+  for (Lacking &Place : Places) {
+    auto Chosen = chooseVictims(Draft, Shape, Place.At, Kind);
+    if (!Chosen || (Best && !isCheaper(*Chosen, Best->Leaving)))
+      continue;
+    Best = ReclaimedPlace{std::move(Place.At), std::move(*Chosen)};
+    if (Best->Leaving.Gangs.empty())
+      break;
+  }
+  return Best;
+}
+
 void reclaim(Plan &Draft, const JobState &For, const Victims &Chosen,
              ReasonCode Cause) {
   const Duration Grace{Draft.Prefer.ReclaimDeadline.Ms / 2};
--- a/src/pistachioflow/policy/reclaim.hpp
+++ b/src/pistachioflow/policy/reclaim.hpp
@@ -20,6 +20,7 @@
 struct Victims {
   std::vector<const JobState *> Gangs;
   std::int64_t LostWorkMs = 0; ///< Accelerators times unsaved run time.
+  std::uint32_t Often = 0;     ///< Of Gangs, those preempted twice before.
 };
 
 /// Returns the work that preempting the gang now would lose, in accelerator
@@ -33,6 +34,19 @@
                                      std::span<const SlotShare> At,
                                      ReclaimKind Kind);
 
+/// A placement and who has to leave it.
+struct ReclaimedPlace {
+  Shares At;
+  Victims Leaving;
+};
+
+/// Finds the place in \p Room where reclaiming loses least work. A bounded
+/// number of places, those that lack least, is weighed.
+std::optional<ReclaimedPlace> placeWithReclaim(Plan &Draft,
+                                               const GangShape &Shape,
+                                               std::span<const Amount> Room,
+                                               ReclaimKind Kind);
+
 /// Asks the gangs for a checkpoint, or stops those that cannot write one.
 void reclaim(Plan &Draft, const JobState &For, const Victims &Chosen,
              ReasonCode Cause);
--- a/src/pistachioflow/policy/rooms.cpp
+++ b/src/pistachioflow/policy/rooms.cpp
@@ -15,9 +15,6 @@
 constexpr double IdleHomeCost = 8;
 constexpr double CostScale = 1'000;
 
-/// What one reclaimed accelerator costs, in reclaimed cores.
-constexpr std::int64_t ReclaimedCost = 1'000;
-
 /// From this weight on, gangs fill up nearly full workers first.
 constexpr double FragmentsFirstWeight = 0.5;
 
@@ -71,31 +68,6 @@
   }
 }
 
-std::optional<Shares> placeWithReclaim(Plan &Draft, const JobState &Job) {
-  Rooms Room;
-  Room.reserve(Draft.Cap.Slots.size());
-  for (SlotIndex At = 0; At < Draft.Cap.Slots.size(); ++At) {
-    const WorkerSlot &Slot = Draft.Cap.Slots[At];
-    const Amount There =
-        Slot.Free + Slot.Coming + Slot.Preemptible - Draft.Held[At];
-    Room.push_back(Slot.Usable ? most(There, {}) : Amount{});
-  }
-  leaveOutFailed(Draft, Job, Room);
-  const GangShape &Shape = Job.Spec.Shape;
-  const auto Cost = [&](std::span<const SlotShare> Shared) {
-    std::int64_t Sum = 0;
-    for (const SlotShare &Share : Shared) {
-      const WorkerSlot &Slot = Draft.Cap.Slots[Share.Slot];
-      const Amount There = Slot.Free + Slot.Coming - Draft.Held[Share.Slot];
-      const Amount Short = most(perTask(Shape) * Share.Tasks - There, {});
-      Sum += Short.Accelerators * ReclaimedCost + Short.Cores;
-    }
-    return Sum;
-  };
-  return findPlacement({Draft.Cap, Shape, Room}, Cost,
-                       Draft.Work.PlacementsWeighed);
-}
-
 Rooms roomOfFree(const Plan &Draft, const JobState &Job) {
   Rooms Room;
   Room.reserve(Draft.Cap.Slots.size());
--- a/src/pistachioflow/policy/rooms.hpp
+++ b/src/pistachioflow/policy/rooms.hpp
@@ -26,10 +26,6 @@
 /// Takes the workers where the job has failed out of \p Room.
 void leaveOutFailed(const Plan &Draft, const JobState &Job, Rooms &Room);
 
-/// Finds a place for the gang that is free once borrowers that are not urgent
-/// have left: where least has to be reclaimed.
-std::optional<Shares> placeWithReclaim(Plan &Draft, const JobState &Job);
-
 /// Finds a place in \p Room that leaves the least fragments and uses the least
 /// of the idle homes, weighed by the settings.
 std::optional<Shares> placeTightly(Plan &Draft, const GangShape &Shape,
--- a/src/pistachioflow/policy/urgent.cpp
+++ b/src/pistachioflow/policy/urgent.cpp
@@ -39,22 +39,33 @@
                 "wait for its turn"));
 }
 
+/// Returns what is free once all borrowers that are not urgent have left.
+Rooms roomAfterReclaim(const Plan &Draft, const JobState &Job) {
+  Rooms Room;
+  Room.reserve(Draft.Cap.Slots.size());
+  for (SlotIndex At = 0; At < Draft.Cap.Slots.size(); ++At) {
+    const WorkerSlot &Slot = Draft.Cap.Slots[At];
+    const Amount There =
+        Slot.Free + Slot.Coming + Slot.Preemptible - Draft.Held[At];
+    Room.push_back(Slot.Usable ? most(There, {}) : Amount{});
+  }
+  leaveOutFailed(Draft, Job, Room);
+  return Room;
+}
+
 void decideOne(Plan &Draft, const JobState &Job) {
   if (!Draft.underCeiling(Job))
     return;
   const auto Free = placeTightly(Draft, Job.Spec.Shape, roomOfFree(Draft, Job));
   if (Free)
     return startUrgent(Draft, Job, *Free);
-  const auto At = placeWithReclaim(Draft, Job);
-  if (!At)
-    return;
-  const auto Chosen =
-      chooseVictims(Draft, Job.Spec.Shape, *At, ReclaimKind::Urgent);
-  if (!Chosen)
+  const auto Place = placeWithReclaim(
+      Draft, Job.Spec.Shape, roomAfterReclaim(Draft, Job), ReclaimKind::Urgent);
+  if (!Place)
     return;
-  reclaim(Draft, Job, *Chosen, ReasonCode::ReclaimedForUrgent);
+  reclaim(Draft, Job, Place->Leaving, ReasonCode::ReclaimedForUrgent);
   Draft.use(Job.Spec.Workspace).Used += acceleratorsOf(Job);
-  Draft.hold(Job.Spec.Shape, *At);
+  Draft.hold(Job.Spec.Shape, Place->At);
   Draft.Touched.insert(Job.Spec.Job);
 }
 
