--- a/include/pistachioflow/controller/ownership.hpp
+++ b/include/pistachioflow/controller/ownership.hpp
@@ -32,7 +32,9 @@
 
 struct LeaseSettings {
   Duration Lease{3'000};
-  Duration Margin{500}; ///< The owner stops this long before its lease ends.
+  /// The owner stops this long before its lease ends. It covers the difference
+  /// of the clocks' rates and the time that an order is on its way.
+  Duration Margin{500};
   Duration RenewEvery{800};
   /// How much longer each rank of candidates waits than the one before it.
   Duration StaggerBy{400};
@@ -58,7 +60,9 @@
   Epoch HeldEpoch = 0;
   /// Own lease: when every lease of the owners before has surely ended.
   Instant ActsFrom;
-  bool ReleaseSent = false;        ///< Of HeldEpoch; nothing is done after it.
+  bool ReleaseSent = false; ///< Of HeldEpoch; nothing is done after it.
+  /// Own lease: when this process stopped acting in order to release.
+  std::optional<Instant> StoppedAt;
   std::vector<SentRecord> Unread;  ///< Own signs, oldest first.
   std::optional<Instant> ReadAt;   ///< Start of the last read up to the end.
   std::optional<Instant> FailedAt; ///< When the log last could not be read.
@@ -107,10 +111,19 @@
 bool mayAct(const LeaseView &View, const InstanceId &Self,
             const LeaseSettings &Settings, Instant Now);
 
-/// Tells whether \p Self may append an OwnerReleased. The new owner acts at
+/// Stops acting under the epoch that is held; the first step of a release.
+void noteStopping(LeaseView &View, Instant Now);
+
+/// Tells whether \p Self may append an OwnerReleased. The next owner acts at
 /// once, so that every earlier lease must have ended.
+/// Precondition: no order of this process is on its way any more.
 bool mayRelease(const LeaseView &View, const InstanceId &Self, Instant Now);
 
+/// As above, for a process that cannot tell which orders are on their way: it
+/// has stopped acting by noteStopping and waits for the margin.
+bool mayRelease(const LeaseView &View, const InstanceId &Self,
+                const LeaseSettings &Settings, Instant Now);
+
 /// Returns the preferred owner of \p Scope among \p Live by rendezvous hashing;
 /// an empty id where \p Live is empty.
 InstanceId preferredOwner(const StreamName &Scope,
--- a/src/pistachioflow/controller/ownership.cpp
+++ b/src/pistachioflow/controller/ownership.cpp
@@ -90,7 +90,7 @@
   const Instant End = leaseEnd(View, Settings);
   if (Now < End) {
     const bool Due = Now - View.SentAt >= Settings.RenewEvery;
-    return Due && !View.ReleaseSent ? LeaseStep::Renew : LeaseStep::Wait;
+    return Due && !View.StoppedAt ? LeaseStep::Renew : LeaseStep::Wait;
   }
   // A lease that has ended is never prolonged: the same instance claims the
   // next epoch, once it has read the stream after the end.
@@ -161,8 +161,10 @@
   View.Unread.push_back({Value.Header.Id, Now});
   if (View.Unread.size() > MaxUnread)
     View.Unread.erase(View.Unread.begin());
-  if (std::holds_alternative<OwnerReleased>(Value.What))
-    View.ReleaseSent = true;
+  if (!std::holds_alternative<OwnerReleased>(Value.What))
+    return;
+  View.ReleaseSent = true;
+  noteStopping(View, Now);
 }
 
 bool noteRecord(LeaseView &View, const Record &Value,
@@ -178,6 +180,7 @@
     View.ActsFrom = actsFrom(View, Before, Settings);
     View.HeldEpoch = View.State.At;
     View.ReleaseSent = false;
+    View.StoppedAt.reset();
   }
   if (SentAt)
     View.ProvenFrom = std::max(View.ProvenFrom, *SentAt);
@@ -217,14 +220,25 @@
 
 bool mayAct(const LeaseView &View, const InstanceId &Self,
             const LeaseSettings &Settings, Instant Now) {
-  return holds(View, Self) && !View.State.Released && !View.ReleaseSent &&
+  return holds(View, Self) && !View.State.Released && !View.StoppedAt &&
          Now >= View.ActsFrom && Now < leaseEnd(View, Settings);
 }
 
+void noteStopping(LeaseView &View, Instant Now) {
+  if (!View.StoppedAt)
+    View.StoppedAt = Now;
+}
+
 bool mayRelease(const LeaseView &View, const InstanceId &Self, Instant Now) {
   return holds(View, Self) && !View.State.Released && Now >= View.ActsFrom;
 }
 
+bool mayRelease(const LeaseView &View, const InstanceId &Self,
+                const LeaseSettings &Settings, Instant Now) {
+  return mayRelease(View, Self, Now) && View.StoppedAt &&
+         Now - *View.StoppedAt >= Settings.Margin;
+}
+
 InstanceId preferredOwner(const StreamName &Scope,
                           std::span<const InstanceId> Live) {
   const auto Best = std::min_element(
--- a/src/pistachioflow/controller/ownership_test.cpp
+++ b/src/pistachioflow/controller/ownership_test.cpp
@@ -203,11 +203,12 @@
   noteRecord(View, renewal("r9", A, 1), Lease, {5'100});
   REQUIRE(noteRecord(View, Own, Lease, {5'100}));
   CHECK_FALSE(mayAct(View, B, Lease, {5'100}));
-  CHECK_FALSE(mayRelease(View, B, {8'099}));
-  CHECK(mayRelease(View, B, {8'100}));
   REQUIRE(sendAndRead(View, renewal("r10", B, 2), {6'000}, {6'010}));
   CHECK_FALSE(mayAct(View, B, Lease, {8'099}));
   CHECK(mayAct(View, B, Lease, {8'100}));
+  noteStopping(View, {6'100});
+  CHECK_FALSE(mayRelease(View, B, Lease, {8'099}));
+  CHECK(mayRelease(View, B, Lease, {8'100}));
 }
 
 TEST_CASE("a claim that lost the race owns nothing") {
@@ -240,10 +241,14 @@
 
 TEST_CASE("an owner stops before it sends its release") {
   LeaseView View = viewOfOwner();
-  REQUIRE(mayRelease(View, A, {1'100}));
-  noteSending(View, release("x", A, 1, B), {1'100});
+  CHECK_FALSE(mayRelease(View, A, Lease, {1'100}));
+  noteStopping(View, {1'100});
   CHECK_FALSE(mayAct(View, A, Lease, {1'100}));
   CHECK(nextLeaseStep(View, A, A, Lease, {2'400}) == LeaseStep::Wait);
+  CHECK_FALSE(mayRelease(View, A, Lease, {1'599}));
+  REQUIRE(mayRelease(View, A, Lease, {1'600}));
+  REQUIRE(sendAndRead(View, release("x", A, 1, B), {1'600}, {1'610}));
+  CHECK_FALSE(mayRelease(View, A, Lease, {1'620}));
 }
 
 TEST_CASE("a snapshot shows an owner and proves no lease") {
