--- a/include/pistachioflow/controller/keys_stream.hpp
+++ b/include/pistachioflow/controller/keys_stream.hpp
@@ -131,6 +131,7 @@
   struct Batch {
     Record Value;
     Offset From = 0;
+    bool InDoubt = false; ///< An earlier append of it may have taken effect.
     std::vector<TicketPtr> Begins;
     std::vector<RequestEnded> Ends;
   };
@@ -144,9 +145,9 @@
   void rememberGivenUp(const KeyBegin &Asked, std::uint64_t Claim);
   void takeBatch();
   void settleAppend(AppendState State);
-  void fold(const StreamBatch &Read);
-  void restart(const StreamBatch &Read);
-  void reenterAfterRestart();
+  bool fold(const StreamBatch &Read);
+  bool restart(const StreamBatch &Read);
+  void reenterFollowers();
   void onChange(const KeyChange &Change);
   void onWon(std::uint64_t Claim);
   void onLost(std::uint64_t Claim);
--- a/src/pistachioflow/controller/keys_stream_step.cpp
+++ b/src/pistachioflow/controller/keys_stream_step.cpp
@@ -48,7 +48,8 @@
 AppendState KeyStream::appendBatch(const Batch &Next) {
   if (this->Cursor.RecentSet.contains(Next.Value.Header.Id))
     return AppendState::InStream;
-  return appendOrConfirm(this->Log, this->Name, Next.Value, Next.From);
+  return appendOrConfirm(this->Log, this->Name, Next.Value, Next.From,
+                         Next.InDoubt);
 }
 
 RecordHeader KeyStream::newHeader(Epoch At) {
@@ -79,9 +80,9 @@
     Asked->At = Phase::Appending;
     this->Appending[Asked->Claim] = Asked;
     const KeyBegin &Begin = Asked->Asked;
-    Keys.Records.push_back({RequestBegun{Begin.Workspace, Begin.Key,
-                                         Begin.Request, Asked->Claim,
-                                         Begin.BodyDigest}});
+    Keys.Records.push_back(
+        {RequestBegun{Begin.Workspace, Begin.Key, Begin.Request, Asked->Claim,
+                      Begin.BodyDigest}});
     Next.Begins.push_back(Asked);
   }
   Next.From = this->Cursor.Next;
@@ -90,8 +91,10 @@
 }
 
 void KeyStream::settleAppend(AppendState State) {
-  if (State == AppendState::Unknown)
+  if (State == AppendState::Unknown) {
+    this->InAppend->InDoubt = true;
     return;
+  }
   Batch Settled = std::move(*this->InAppend);
   this->InAppend.reset();
   if (State == AppendState::InStream) {
@@ -120,18 +123,19 @@
       return false;
     }
     const std::lock_guard Guard(this->Lock);
-    this->fold(Read.value());
+    if (!this->fold(Read.value()))
+      return false;
     if (Read.value().AtEnd)
       return true;
   }
 }
 
-void KeyStream::fold(const StreamBatch &Read) {
-  if (Read.Restarted)
-    this->restart(Read);
+bool KeyStream::fold(const StreamBatch &Read) {
+  if (Read.Restarted && !this->restart(Read))
+    return false;
   for (const StreamRecord &Each : Read.Records) {
-    const auto Changes = foldKeys(this->Table, Each.What, Each.At,
-                                  this->Settings.Retention);
+    const auto Changes =
+        foldKeys(this->Table, Each.What, Each.At, this->Settings.Retention);
     ++this->RecordsSinceSnapshot;
     if (std::holds_alternative<SnapshotTaken>(Each.What.What)) {
       this->RecordsSinceSnapshot = 0;
@@ -141,15 +145,20 @@
     for (const KeyChange &Change : Changes)
       this->onChange(Change);
   }
+  return true;
 }
 
-void KeyStream::restart(const StreamBatch &Read) {
+/// Loads the snapshot. A damaged one must not make the stream look empty: the
+/// next read restarts again.
+bool KeyStream::restart(const StreamBatch &Read) {
   auto Loaded = loadKeys(Read.Snapshot);
   if (Loaded.has_error()) {
-    logEvent(LogLevel::Error, "key_snapshot_damaged",
-             {{"stream", this->Name.Value},
-              {"message", Loaded.error().Message}});
-    return;
+    logEvent(
+        LogLevel::Error, "key_snapshot_damaged",
+        {{"stream", this->Name.Value}, {"message", Loaded.error().Message}});
+    this->Cursor = {};
+    this->Cursor.Stream = this->Name;
+    return false;
   }
   this->Table = std::move(Loaded.value());
   this->BegunSeen.clear();
@@ -159,18 +168,16 @@
     this->BegunSeen[Key] = this->Time.monotonic();
     this->onWon(Entry.Claim);
   }
-  this->reenterAfterRestart();
+  this->reenterFollowers();
+  return true;
 }
 
-/// Judges anew whom the records that the snapshot replaced may have decided.
-void KeyStream::reenterAfterRestart() {
+/// Judges the followers anew: the snapshot may stand for the record that they
+/// wait for.
+void KeyStream::reenterFollowers() {
   std::vector<TicketPtr> Open;
   for (auto &[Key, Waiting] : std::exchange(this->Followers, {}))
     Open.insert(Open.end(), Waiting.begin(), Waiting.end());
-  for (const auto &[Claim, Asked] : std::exchange(this->Appending, {})) {
-    this->rememberGivenUp(Asked->Asked, Asked->Claim);
-    Open.push_back(Asked);
-  }
   for (const TicketPtr &Asked : Open)
     this->enter(Asked);
 }
@@ -265,8 +272,9 @@
   const OwnershipState &Owner = this->Table.Owner;
   if (Owner.At != Next || Owner.Owner != this->Settings.Self)
     return;
-  const Record Snapshot{this->newHeader(Next),
-                        SnapshotTaken{this->Cursor.Next, saveKeys(this->Table)}};
+  const Record Snapshot{
+      this->newHeader(Next),
+      SnapshotTaken{this->Cursor.Next, saveKeys(this->Table)}};
   const Offset Start = this->Cursor.Next;
   Guard.unlock();
   const AppendState Taken =
