--- a/include/pistachioflow/controller/keys_stream.hpp
+++ b/include/pistachioflow/controller/keys_stream.hpp
@@ -174,6 +174,7 @@
   bool Woken = false;
   bool Stepping = false; ///< Only its holder uses Cursor.
   StreamCursor Cursor;
+  bool Unreadable = false; ///< Logged already. Used by the stepping thread.
   KeyTable Table;
   RecordIdSource Ids;
   std::mt19937_64 Generator;
--- a/include/pistachioflow/filter/dispatch.hpp
+++ b/include/pistachioflow/filter/dispatch.hpp
@@ -79,7 +79,7 @@
 
   /// Returns why a new request cannot be served by \p Deadline, if so.
   std::optional<ReasonCode> refuseEarly(RequestClass Class, Instant Deadline,
-                                        Instant Now) const;
+                                        Instant Now);
 
   /// Adds a request. It may be refused or granted at once.
   DispatchResult enqueue(const WaitingRequest &Request, Instant Now);
@@ -101,8 +101,9 @@
   std::uint32_t inFlight() const { return this->OwnTotal; }
   std::span<const RunnerState> runners() const { return this->Runners; }
 
-  /// Returns the usual time of a class; 0 before its first answer.
-  Duration usual(RequestClass Class) const;
+  /// Returns the time below which a request of \p Class is not worth sending;
+  /// 0 before its first answer.
+  Duration shortest(RequestClass Class) const;
 
 private:
   struct Capacity {
--- a/include/pistachioflow/filter/dispatcher.hpp
+++ b/include/pistachioflow/filter/dispatcher.hpp
@@ -52,7 +52,7 @@
   void wakeAll();
 
   std::optional<ReasonCode> refuseEarly(RequestClass Class, Instant Deadline);
-  Duration usual(RequestClass Class);
+  Duration shortest(RequestClass Class);
   std::vector<RunnerInFlight> ownLoads();
   std::size_t waiting();
 
--- a/src/pistachioflow/controller/keys_stream_step.cpp
+++ b/src/pistachioflow/controller/keys_stream_step.cpp
@@ -116,17 +116,20 @@
     auto Read = readNew(this->Log, this->Cursor);
     if (Read.has_error()) {
       const Error &Failure = Read.error();
-      logEvent(LogLevel::Warning, "key_stream_unreadable",
-               {{"stream", this->Name.Value},
-                {"code", toString(Failure.Code)},
-                {"message", Failure.Message}});
+      if (!std::exchange(this->Unreadable, true))
+        logEvent(LogLevel::Warning, "key_stream_unreadable",
+                 {{"stream", this->Name.Value},
+                  {"code", toString(Failure.Code)},
+                  {"message", Failure.Message}});
       return false;
     }
     const std::lock_guard Guard(this->Lock);
     if (!this->fold(Read.value()))
       return false;
-    if (Read.value().AtEnd)
-      return true;
+    if (!Read.value().AtEnd)
+      continue;
+    this->Unreadable = false;
+    return true;
   }
 }
 
--- a/src/pistachioflow/filter/dispatch.cpp
+++ b/src/pistachioflow/filter/dispatch.cpp
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr double LearnWeight = 0.05;
+/// Answers may well come in less than the usual time.
+constexpr double ShortestPart = 0.5;
+/// A refusal teaches nothing, so each one lowers the time that caused it: an
+/// estimate that is too high must not refuse for ever.
+constexpr double DecayOnRefusal = 0.95;
 /// Below this part of its share, an instance may try runners that look full.
 constexpr std::uint32_t StarvedPart = 4;
 
@@ -50,8 +55,8 @@
   }
 }
 
-std::optional<ReasonCode>
-Dispatch::refuseEarly(RequestClass Class, Instant Deadline, Instant Now) const {
+std::optional<ReasonCode> Dispatch::refuseEarly(RequestClass Class,
+                                                Instant Deadline, Instant Now) {
   if (this->Runners.empty())
     return ReasonCode::RequestNoRunner;
   double WaitMs = 0;
@@ -61,10 +66,11 @@
     const double Part = static_cast<double>(Has.Slots) / this->Instances;
     WaitMs = static_cast<double>(Ahead) * this->UsualOfAllMs / Part;
   }
-  const double NeedMs = WaitMs + this->UsualMs[indexOf(Class)];
-  if (static_cast<double>((Deadline - Now).Ms) < NeedMs)
-    return ReasonCode::RequestRefusedDeadline;
-  return std::nullopt;
+  const double NeedMs = WaitMs + ShortestPart * this->UsualMs[indexOf(Class)];
+  if (static_cast<double>((Deadline - Now).Ms) >= NeedMs)
+    return std::nullopt;
+  this->UsualMs[indexOf(Class)] *= DecayOnRefusal;
+  return ReasonCode::RequestRefusedDeadline;
 }
 
 DispatchResult Dispatch::enqueue(const WaitingRequest &Request, Instant Now) {
@@ -127,8 +133,8 @@
   return Loads;
 }
 
-Duration Dispatch::usual(RequestClass Class) const {
-  return {std::llround(this->UsualMs[indexOf(Class)])};
+Duration Dispatch::shortest(RequestClass Class) const {
+  return {std::llround(ShortestPart * this->UsualMs[indexOf(Class)])};
 }
 
 Dispatch::Capacity Dispatch::capacity() const {
@@ -146,11 +152,13 @@
 void Dispatch::pumpInto(DispatchResult &Result, Instant Now) {
   if (this->Queue.size() == 0)
     return;
-  std::array<Duration, RequestClasses> Usual{};
+  std::array<Duration, RequestClasses> Shortest{};
   for (std::size_t Class = 0; Class < RequestClasses; ++Class)
-    Usual[Class] = this->usual(static_cast<RequestClass>(Class));
-  while (const auto Hopeless = this->Queue.takeHopeless(Now, Usual))
+    Shortest[Class] = this->shortest(static_cast<RequestClass>(Class));
+  while (const auto Hopeless = this->Queue.takeHopeless(Now, Shortest)) {
+    this->UsualMs[indexOf(Hopeless->Class)] *= DecayOnRefusal;
     Result.Refusals.push_back({Hopeless->Ticket});
+  }
   while (const WaitingRequest *Due = this->Queue.peek()) {
     const auto Index = this->pickFor(*Due, Now);
     if (!Index)
--- a/src/pistachioflow/filter/dispatcher.cpp
+++ b/src/pistachioflow/filter/dispatcher.cpp
@@ -82,9 +82,9 @@
   return this->Core.refuseEarly(Class, Deadline, this->Time.monotonic());
 }
 
-Duration Dispatcher::usual(RequestClass Class) {
+Duration Dispatcher::shortest(RequestClass Class) {
   const std::lock_guard Guard(this->Lock);
-  return this->Core.usual(Class);
+  return this->Core.shortest(Class);
 }
 
 std::vector<RunnerInFlight> Dispatcher::ownLoads() {
--- a/src/pistachioflow/filter/exchange.cpp
+++ b/src/pistachioflow/filter/exchange.cpp
@@ -89,7 +89,7 @@
     Backoff = backoffAfter(Context.Sends, Parts.Retry, Parts.Random);
   }
   const Instant NextStart = Parts.Time.monotonic() + Backoff;
-  const Instant NextEnd = NextStart + Parts.Turns.usual(Request.Class);
+  const Instant NextEnd = NextStart + Parts.Turns.shortest(Request.Class);
   const bool OwnAnswer = Context.Answer.Request == Context.Wire.Request;
   const SendFacts Facts{Context.Answer.State,      OwnAnswer,
                         Request.NonIdempotent,     Context.MayHaveRun,
