--- a/include/pistachioflow/codec/json_reader.hpp
+++ b/include/pistachioflow/codec/json_reader.hpp
@@ -24,6 +24,13 @@
   bool AllowComments = false;
 };
 
+/// The most findings that are collected of one input. The last one then says
+/// that others were left out.
+inline constexpr std::size_t MaxFindings = 1'000;
+
+/// Cuts \p Text to a length that fits into a finding, at a whole character.
+std::string shortened(std::string_view Text);
+
 /// Parses \p Text. \p Source names it in findings: a file, or "body".
 /// Errors: InvalidInput with the line of the fault; too large, too deep,
 /// malformed, invalid UTF-8 and duplicate keys are such faults.
@@ -74,7 +81,8 @@
       return Default.value_or(enumNames<Enum>().front().Value);
     if (const std::optional<Enum> Value = enumFromName<Enum>(*Name))
       return *Value;
-    this->report(Key, "one of " + listNames<Enum>(), "\"" + *Name + "\"");
+    this->report(Key, "one of " + listNames<Enum>(),
+                 "\"" + shortened(*Name) + "\"");
     return Default.value_or(enumNames<Enum>().front().Value);
   }
 
@@ -113,6 +121,7 @@
   std::string Path;
   Findings *Out;
   std::set<std::string, std::less<>> Asked;
+  bool WrongType = false; ///< Reported already; its fields are not.
 };
 
 /// Formats \p Value on one line. Invalid UTF-8 becomes U+FFFD.
--- a/src/pistachioflow/codec/json_parse.cpp
+++ b/src/pistachioflow/codec/json_parse.cpp
@@ -54,7 +54,7 @@
 
   void addKey(const std::string &Key) {
     if (!this->Keys.back().insert(Key).second)
-      throw BoundExceeded{"each key once", "\"" + Key + "\" twice"};
+      throw BoundExceeded{"each key once", "\"" + shortened(Key) + "\" twice"};
   }
 
   std::uint32_t MaxDepth;
@@ -74,10 +74,12 @@
 }
 
 /// Drops the library's own prefix from its message.
-std::string shorten(std::string_view Message) {
+std::string withoutPrefix(std::string_view Message) {
+  constexpr std::size_t MaxMessageBytes = 160;
   const std::size_t Cut = Message.find("] ");
-  return std::string(Cut == std::string_view::npos ? Message
-                                                   : Message.substr(Cut + 2));
+  if (Cut != std::string_view::npos)
+    Message.remove_prefix(Cut + 2);
+  return std::string(Message.substr(0, MaxMessageBytes));
 }
 
 } // namespace
@@ -98,14 +100,27 @@
     return json::parse(Text, Check, true, Bounds.AllowComments);
   } catch (const json::parse_error &Fault) {
     return invalid(Name + " " + lineOf(Text, Fault.byte), "JSON",
-                   shorten(Fault.what()));
+                   withoutPrefix(Fault.what()));
   } catch (const json::exception &Fault) {
-    return invalid(Name, "JSON", shorten(Fault.what()));
+    return invalid(Name, "JSON", withoutPrefix(Fault.what()));
   } catch (const BoundExceeded &Fault) {
     return invalid(Name, Fault.Expected, Fault.Found);
   }
 }
 
+std::string shortened(std::string_view Text) {
+  constexpr std::size_t MaxShownBytes = 60;
+  constexpr unsigned char ContinuationMask = 0xc0;
+  constexpr unsigned char Continuation = 0x80;
+  if (Text.size() <= MaxShownBytes)
+    return std::string(Text);
+  std::size_t End = MaxShownBytes;
+  while (End > 0 && (static_cast<unsigned char>(Text[End]) &
+                     ContinuationMask) == Continuation)
+    --End;
+  return std::string(Text.substr(0, End)) + "...";
+}
+
 std::string dumpJson(const json &Value) {
   constexpr int NoIndent = -1;
   return Value.dump(NoIndent, ' ', false, json::error_handler_t::replace);
--- a/src/pistachioflow/codec/object_reader.cpp
+++ b/src/pistachioflow/codec/object_reader.cpp
@@ -14,7 +14,6 @@
 constexpr std::size_t MaxIdentifierBytes = 64;
 constexpr std::size_t MaxKeyBytes = 200;
 constexpr std::size_t MaxHostBytes = 253;
-constexpr std::size_t MaxShownBytes = 60;
 
 const json &emptyObject() {
   static const json Empty = json::object();
@@ -84,12 +83,10 @@
 std::string show(const json &Value) {
   if (Value.is_structured())
     return Value.is_array() ? "an array" : "an object";
-  std::string Text = dumpJson(Value);
-  if (Text.size() > MaxShownBytes) {
-    Text.resize(MaxShownBytes);
-    Text += "...";
-  }
-  return Text;
+  if (Value.is_string() &&
+      Value.get_ref<const std::string &>().size() > MaxKeyBytes)
+    return "\"" + shortened(Value.get_ref<const std::string &>()) + "\"";
+  return shortened(dumpJson(Value));
 }
 
 bool withinRange(const json &Value, IntegerRange Range) {
@@ -110,8 +107,10 @@
     : Value(&Value), Path(std::move(Path)), Out(&Out) {
   if (Value.is_object())
     return;
-  this->Out->push_back({this->Path, "an object", show(Value)});
+  if (this->Out->size() < MaxFindings)
+    this->Out->push_back({this->Path, "an object", show(Value)});
   this->Value = &emptyObject();
+  this->WrongType = true;
 }
 
 std::string ObjectReader::text(std::string_view Key, TextRule Rule,
@@ -200,7 +199,13 @@
 
 void ObjectReader::report(std::string_view Key, std::string Expected,
                           std::string Found) {
-  std::string Place = this->Path + "." + std::string(Key);
+  if (this->Out->size() >= MaxFindings)
+    return;
+  if (this->Out->size() + 1 == MaxFindings) {
+    this->Out->push_back({this->Path, "fewer findings", "more than are shown"});
+    return;
+  }
+  std::string Place = this->Path + "." + shortened(Key);
   this->Out->push_back(
       {std::move(Place), std::move(Expected), std::move(Found)});
 }
@@ -211,7 +216,7 @@
   const auto At = this->Value->find(Key);
   if (At != this->Value->end())
     return &*At;
-  if (!Optional)
+  if (!Optional && !this->WrongType)
     this->report(Key, std::string(Expected), "nothing");
   return nullptr;
 }
