Explain jobs, workspaces and workers from the streams

Cause: the daemon answered every explanation with not_found, and its time line held only what the process had in memory, so that nothing survived its author.

What could not be read is named.

--- a/src/pistachioflow/daemon/node.cpp
+++ b/src/pistachioflow/daemon/node.cpp
@@ -81,12 +81,17 @@
            std::uint64_t Seed)
     : Settings(Settings), Time(Time), Journal(Settings.Limits.JournalEvents),
       Platform(Settings, Time, this->Metrics),
+      History(this->Platform.Log, Settings.Limits.JournalEvents),
       Config(this->Platform.Log, Time, Settings.Instance, Seed + ConfigSeed),
       Keys(this->Platform.Log, Time, keySettings(Settings, Seed)),
       Members(Settings.Instance, Time), WorkerPool(Settings.Threads.Workers),
       Ticks(Settings.Threads.Cells + Settings.Threads.Logs),
       Cells(Settings.Instance, Settings.Domain, Settings.Cell,
-            cellSettings(Settings), this->cellPorts(Seed), {}),
+            cellSettings(Settings), this->cellPorts(Seed),
+            [this](const StreamName &Stream, const StreamRecord &Read,
+                   const FoldedRecord &Fate) {
+              this->History.take(Stream, Read, Fate);
+            }),
       Requests(requestSettings(Settings, Seed), this->requestPorts()),
       Peers(peerSettings(Settings, Seed), Time, this->peerHandlers()) {}
 
--- a/src/pistachioflow/daemon/node.hpp
+++ b/src/pistachioflow/daemon/node.hpp
@@ -12,6 +12,7 @@
 #include "pistachioflow/daemon/member_board.hpp"
 #include "pistachioflow/daemon/platform_ports.hpp"
 #include "pistachioflow/daemon/schedule.hpp"
+#include "pistachioflow/daemon/stream_history.hpp"
 #include "pistachioflow/filter/request_service.hpp"
 #include "pistachioflow/peer/peer_exchange.hpp"
 
@@ -59,6 +60,7 @@
   MetricRegistry Metrics;
   EventJournal Journal;
   PlatformPorts Platform;
+  StreamHistory History;
   ConfigController Config;
   KeyController Keys;
   MemberBoard Members;
--- a/src/pistachioflow/daemon/node_backend.cpp
+++ b/src/pistachioflow/daemon/node_backend.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "pistachioflow/daemon/explanations.hpp"
+
 namespace pistachioflow {
 
 namespace {
@@ -42,12 +44,6 @@
   return Status;
 }
 
-bool matches(const TimelineEvent &Event, const TimelineQuery &Query) {
-  return (Query.AnyKind || Event.Kind == Query.Kind) &&
-         (Query.Subject.empty() || Event.Subject == Query.Subject) &&
-         Event.Wall >= Query.Since;
-}
-
 } // namespace
 
 Lists NodeBackend::lists() { return this->Parts.Config.lists(); }
@@ -63,13 +59,13 @@
 }
 
 Result<std::string> NodeBackend::whatIfPlans(const PlansEdited &Edit) {
-  BOOST_OUTCOME_TRY(this->Parts.Config.tryPlans(Edit));
-  return std::string("The edit would be accepted.");
+  BOOST_OUTCOME_TRY(Edited, this->Parts.Config.tryPlans(Edit));
+  return "The edit would be accepted.\n" + trialText(this->Parts, Edited);
 }
 
 Result<std::string> NodeBackend::whatIfLimits(const LimitsEdited &Edit) {
-  BOOST_OUTCOME_TRY(this->Parts.Config.tryLimits(Edit));
-  return std::string("The edit would be accepted.");
+  BOOST_OUTCOME_TRY(Edited, this->Parts.Config.tryLimits(Edit));
+  return "The edit would be accepted.\n" + trialText(this->Parts, Edited);
 }
 
 Result<void> NodeBackend::checkTakesWork() const {
@@ -156,18 +152,12 @@
 }
 
 TimelineView NodeBackend::timeline(const TimelineQuery &Query) {
-  TimelineView View;
-  for (TimelineEvent &Event : this->Parts.Journal.events()) {
-    if (matches(Event, Query))
-      View.Events.push_back(std::move(Event));
-  }
-  View.Dropped = this->Parts.Journal.dropped();
-  return View;
+  return gatherTimeline(this->Parts, Query);
 }
 
-Result<std::string> NodeBackend::explain(SubjectKind,
+Result<std::string> NodeBackend::explain(SubjectKind Kind,
                                          const std::string &Subject) {
-  return Error{ErrorCode::NotFound, "nothing is known of " + Subject, {}};
+  return explainSubject(this->Parts, Kind, Subject);
 }
 
 bool NodeBackend::ready() { return this->Parts.ready(); }
