Keep a cell's time moving and start no attempt twice on one worker

Change: only owners move a cell's time, and it goes on at the pace of the present owner; the owner records that time has passed when a pause is over; a member whose start was sent is never held again.

--- a/include/pistachioflow/controller/cell_fold.hpp
+++ b/include/pistachioflow/controller/cell_fold.hpp
@@ -12,13 +12,29 @@
 
 namespace pistachioflow {
 
+/// The time that a cell is decided on. It follows the owners' wall clocks but
+/// never goes back, and goes on at the pace of the present owner's clock where
+/// that is behind an earlier one's.
+struct CellTime {
+  Instant Now;
+  Epoch OwnerAt = 0; ///< The epoch of the last record that moved it.
+  Instant OwnerWall; ///< The wall time of that record.
+
+  bool operator==(const CellTime &) const = default;
+  MSGPACK_DEFINE(Now, OwnerAt, OwnerWall)
+};
+
+/// Returns the time after a record of the owner of epoch \p At that was written
+/// at \p Wall on its clock. Thread safety: pure.
+CellTime advanceTime(const CellTime &Before, Epoch At, Instant Wall);
+
 /// Everything that the stream of a cell folds to.
 struct CellFold {
   OwnershipState Ownership;
   policy::CellState Cell;
-  Instant LatestWall; ///< The latest wall time of a folded record.
+  CellTime Time;
 
-  MSGPACK_DEFINE(Ownership, Cell, LatestWall)
+  MSGPACK_DEFINE(Ownership, Cell, Time)
 };
 
 /// What became of one record.
--- a/include/pistachioflow/controller/cell_tenure.hpp
+++ b/include/pistachioflow/controller/cell_tenure.hpp
@@ -123,6 +123,10 @@
 std::vector<TenureCall>
 dueRenewals(CellTenure &Tenure, const TenureSettings &Settings, Instant Now);
 
+/// Tells whether a queued job's pause has ended at \p FoldTime, which the fold
+/// learns only by the next fact.
+bool isPauseOver(const policy::CellState &State, Instant FoldTime);
+
 /// Returns the facts that the stream should record now.
 std::vector<Event> dueEvents(CellTenure &Tenure, const policy::CellState &State,
                              const Lists &Configuration,
--- a/include/pistachioflow/controller/gang.hpp
+++ b/include/pistachioflow/controller/gang.hpp
@@ -44,6 +44,9 @@
   bool InFlight = false; ///< An order or a question is on its way.
   bool Asked = false;    ///< It is a question.
   bool Asking = false;   ///< An answer was lost; ask before the next order.
+  /// A start was sent, perhaps by an earlier owner: no attempt is started twice
+  /// on one worker.
+  bool MayHaveStarted = false;
   Instant LeaseEnds; ///< The tasks have surely ended by then, unless renewed.
   Instant RenewDue;
   Instant RetryAt;
--- a/src/pistachioflow/controller/cell.cpp
+++ b/src/pistachioflow/controller/cell.cpp
@@ -310,6 +310,8 @@
   DecisionsMade Made;
   Made.Observed = dueEvents(*this->Tenure, this->Fold.Cell, Configuration,
                             this->Settings.Tenure, Now);
+  if (Made.Observed.empty() && isPauseOver(this->Fold.Cell, this->foldTime()))
+    Made.Observed.emplace_back(TimePassed{});
   const bool Wait =
       std::any_of(Made.Observed.begin(), Made.Observed.end(), changesCapacity);
   // A leaving owner finishes what it has begun and starts nothing.
@@ -323,9 +325,10 @@
   return this->appendOwn(std::move(Made), this->Tenure->At);
 }
 
-/// The time that the next record's fold will have, as far as it is known.
+/// The time that a record written now would be folded at.
 Instant CellController::foldTime() const {
-  return std::max(this->Fold.LatestWall, this->Ports.Time.wall());
+  const Instant Wall = this->Ports.Time.wall();
+  return advanceTime(this->Fold.Time, this->Tenure->At, Wall).Now;
 }
 
 /// Appends a record of the owner. What became of an append without an answer
--- a/src/pistachioflow/controller/cell_due.cpp
+++ b/src/pistachioflow/controller/cell_due.cpp
@@ -150,6 +150,19 @@
   return Calls;
 }
 
+bool isPauseOver(const policy::CellState &State, Instant FoldTime) {
+  if (State.Index.Built)
+    return !State.Index.Delayed.empty() &&
+           State.Index.Delayed.begin()->At <= FoldTime;
+  // A state from a snapshot has no index before its first fact.
+  return std::any_of(
+      State.Jobs.begin(), State.Jobs.end(), [&](const auto &Entry) {
+        const policy::JobState &Job = Entry.second;
+        return Job.Phase == JobPhase::Queued &&
+               Job.NotBefore > State.ObservedAt && Job.NotBefore <= FoldTime;
+      });
+}
+
 std::vector<Event> dueEvents(CellTenure &Tenure, const policy::CellState &State,
                              const Lists &Configuration,
                              const TenureSettings &Settings, Instant Now) {
--- a/src/pistachioflow/controller/cell_fold.cpp
+++ b/src/pistachioflow/controller/cell_fold.cpp
@@ -36,13 +36,21 @@
 
 } // namespace
 
+CellTime advanceTime(const CellTime &Before, Epoch At, Instant Wall) {
+  const bool SameOwner = Before.OwnerAt == At && Wall >= Before.OwnerWall;
+  const Duration Passed = SameOwner ? Wall - Before.OwnerWall : Duration{0};
+  return {std::max(Wall, Before.Now + Passed), At, Wall};
+}
+
 FoldedRecord foldCellRecord(CellFold &Fold, const Record &Value, bool Valid) {
   FoldedRecord Result{Valid, {}};
   if (!Valid)
     return Result;
-  // Authors' wall clocks differ; the fold's time never goes back.
-  Fold.LatestWall = std::max(Fold.LatestWall, Value.Header.Wall);
-  const Instant At = Fold.LatestWall;
+  // Facts come from any instance, whose clock may be wrong: only owners move
+  // the time.
+  if (Value.Header.At != 0 || Fold.Time.Now == Instant{})
+    Fold.Time = advanceTime(Fold.Time, Value.Header.At, Value.Header.Wall);
+  const Instant At = Fold.Time.Now;
   if (const auto *Facts = std::get_if<FactsObserved>(&Value.What))
     observeAll(Fold.Cell, Facts->Events, At);
   if (const auto *Made = std::get_if<DecisionsMade>(&Value.What)) {
--- a/src/pistachioflow/controller/cell_test_workers.hpp
+++ b/src/pistachioflow/controller/cell_test_workers.hpp
@@ -42,6 +42,7 @@
 struct EffectiveOrder {
   Instant At;
   WorkerId Worker;
+  int Incarnation = 0;
   InstanceId Sender;
   WorkerOrder Order;
 };
@@ -56,6 +57,7 @@
     bool Alive = true;
     bool Listed = true;
     Epoch HighestFence = 0;
+    int Incarnation = 0; ///< A revived machine remembers no fence.
     std::map<TaskKey, FakeTasks> Tasks;
   };
 
@@ -83,6 +85,7 @@
     Machine &Back = this->Machines.at(Worker);
     Back.Alive = true;
     Back.HighestFence = 0;
+    ++Back.Incarnation;
   }
 
   /// Ends leases and run times that are over, and delivers late orders.
@@ -112,7 +115,7 @@
       return Error{ErrorCode::UnknownOutcome, "answer lost", {}};
     case WorkerFault::LateOrder:
       this->LateOrders.push_back(
-          {this->Time.monotonic() + LateBy, {{}, Worker, Sender, Order}});
+          {this->Time.monotonic() + LateBy, {{}, Worker, 0, Sender, Order}});
       return Error{ErrorCode::UnknownOutcome, "answer lost", {}};
     }
     return Error{ErrorCode::Unavailable, "unreachable", {}};
@@ -184,7 +187,8 @@
     Asked.HighestFence = Order.Fence;
     const Result<void> Done = this->perform(Asked, Order);
     if (Done.has_value())
-      this->History.push_back({this->Time.monotonic(), Worker, Sender, Order});
+      this->History.push_back(
+          {this->Time.monotonic(), Worker, Asked.Incarnation, Sender, Order});
     return Done;
   }
 
--- a/src/pistachioflow/controller/gang.cpp
+++ b/src/pistachioflow/controller/gang.cpp
@@ -191,7 +191,7 @@
   if (EndKnown || Member.State == MemberState::Gone)
     return;
   const bool MayHoldAgain =
-      Gang.Goal == GangGoal::Start && Member.State != MemberState::Running;
+      Gang.Goal == GangGoal::Start && !Member.MayHaveStarted;
   Member.State = MayHoldAgain ? MemberState::Idle : MemberState::Gone;
 }
 
@@ -245,6 +245,7 @@
     Member.Worker = Share.Worker;
     Member.Tasks = Share.Tasks;
     Member.State = First;
+    Member.MayHaveStarted = First == MemberState::Unasked;
     Member.LeaseEnds = LeaseEnds;
     Gang.Members.push_back(Member);
   }
@@ -321,6 +322,8 @@
       continue;
     Member.InFlight = true;
     Member.Asked = Call->Ask;
+    if (Call->Kind == OrderKind::Start && !Call->Ask)
+      Member.MayHaveStarted = true;
     Due.push_back(*Call);
   }
   return Due;
