--- a/src/pistachioflow/controller/keys_stream_step.cpp
+++ b/src/pistachioflow/controller/keys_stream_step.cpp
@@ -48,7 +48,8 @@
 AppendState KeyStream::appendBatch(const Batch &Next) {
   if (this->Cursor.RecentSet.contains(Next.Value.Header.Id))
     return AppendState::InStream;
-  return appendOrConfirm(this->Log, this->Name, Next.Value, Next.From);
+  return appendOrConfirm(this->Log, this->Name, Next.Value, Next.From,
+                         Next.InDoubt);
 }
 
 RecordHeader KeyStream::newHeader(Epoch At) {
@@ -90,8 +91,10 @@
 }
 
 void KeyStream::settleAppend(AppendState State) {
-  if (State == AppendState::Unknown)
+  if (State == AppendState::Unknown) {
+    this->InAppend->InDoubt = true;
     return;
+  }
   Batch Settled = std::move(*this->InAppend);
   this->InAppend.reset();
   if (State == AppendState::InStream) {
@@ -113,22 +116,26 @@
     auto Read = readNew(this->Log, this->Cursor);
     if (Read.has_error()) {
       const Error &Failure = Read.error();
-      logEvent(LogLevel::Warning, "key_stream_unreadable",
-               {{"stream", this->Name.Value},
-                {"code", toString(Failure.Code)},
-                {"message", Failure.Message}});
+      if (!std::exchange(this->Unreadable, true))
+        logEvent(LogLevel::Warning, "key_stream_unreadable",
+                 {{"stream", this->Name.Value},
+                  {"code", toString(Failure.Code)},
+                  {"message", Failure.Message}});
       return false;
     }
     const std::lock_guard Guard(this->Lock);
-    this->fold(Read.value());
-    if (Read.value().AtEnd)
-      return true;
+    if (!this->fold(Read.value()))
+      return false;
+    if (!Read.value().AtEnd)
+      continue;
+    this->Unreadable = false;
+    return true;
   }
 }
 
-void KeyStream::fold(const StreamBatch &Read) {
-  if (Read.Restarted)
-    this->restart(Read);
+bool KeyStream::fold(const StreamBatch &Read) {
+  if (Read.Restarted && !this->restart(Read))
+    return false;
   for (const StreamRecord &Each : Read.Records) {
     const auto Changes =
         foldKeys(this->Table, Each.What, Each.At, this->Settings.Retention);
@@ -141,15 +148,20 @@
     for (const KeyChange &Change : Changes)
       this->onChange(Change);
   }
+  return true;
 }
 
-void KeyStream::restart(const StreamBatch &Read) {
+/// Loads the snapshot. A damaged one must not make the stream look empty: the
+/// next read restarts again.
+bool KeyStream::restart(const StreamBatch &Read) {
   auto Loaded = loadKeys(Read.Snapshot);
   if (Loaded.has_error()) {
     logEvent(
         LogLevel::Error, "key_snapshot_damaged",
         {{"stream", this->Name.Value}, {"message", Loaded.error().Message}});
-    return;
+    this->Cursor = {};
+    this->Cursor.Stream = this->Name;
+    return false;
   }
   this->Table = std::move(Loaded.value());
   this->BegunSeen.clear();
@@ -159,18 +171,16 @@
     this->BegunSeen[Key] = this->Time.monotonic();
     this->onWon(Entry.Claim);
   }
-  this->reenterAfterRestart();
+  this->reenterFollowers();
+  return true;
 }
 
-/// Judges anew whom the records that the snapshot replaced may have decided.
-void KeyStream::reenterAfterRestart() {
+/// Judges the followers anew: the snapshot may stand for the record that they
+/// wait for.
+void KeyStream::reenterFollowers() {
   std::vector<TicketPtr> Open;
   for (auto &[Key, Waiting] : std::exchange(this->Followers, {}))
     Open.insert(Open.end(), Waiting.begin(), Waiting.end());
-  for (const auto &[Claim, Asked] : std::exchange(this->Appending, {})) {
-    this->rememberGivenUp(Asked->Asked, Asked->Claim);
-    Open.push_back(Asked);
-  }
   for (const TicketPtr &Asked : Open)
     this->enter(Asked);
 }
