Answer explanations, time lines and trial edits from the node

Cause: the backend knew only its own memory. Change: the cells' folded records become events as they are read; explain, what-if and cancellation of requests are wired.

--- a/src/pistachioflow/controller/cell_schedule_test.cpp
+++ b/src/pistachioflow/controller/cell_schedule_test.cpp
@@ -130,33 +130,6 @@
   }
 
   std::set<JobId> Acknowledged;
-  void dump(std::uint64_t Seed) {
-    printf("DUMP seed %lu\n", Seed);
-    for (auto &I : this->Instances) {
-      auto S = I->Cell->status();
-      printf("DUMP %s owner %s epoch %lu acts %d log %d pend %zu\n",
-             I->Name.Value.c_str(), S.Owner.Value.c_str(), S.At, S.Acts,
-             S.LogReachable, S.PendingCalls);
-      for (auto &J : I->Cell->jobs()) {
-        printf("DUMP   %s %s try %u tasks %u pl %zu refus %u failedon %zu "
-               "notbefore %ld\n",
-               J.Spec.Job.Value.c_str(), std::string(toString(J.Phase)).c_str(),
-               J.Try, J.Spec.Shape.Tasks, J.Placements.size(), J.Refusals,
-               J.FailedOn.size(), J.NotBefore.Ms);
-      }
-      I->Cell->read([](const CellFold &F) {
-        for (auto &[W, X] : F.Cell.Workers)
-          printf("DUMP   %s lost %d quar %d\n", W.Value.c_str(), X.Lost,
-                 X.Quarantined);
-        printf("DUMP now %ld\n", F.Time.Now.Ms);
-      });
-    }
-    for (auto &[W, M] : this->Workers.Machines)
-      for (auto &[K, T] : M.Tasks)
-        printf("DUMP  on %s: %s try %u phase %d\n", W.Value.c_str(),
-               K.Job.Value.c_str(), K.Try, (int)T.Phase);
-    printf("DUMP true %ld\n", this->True.monotonic().Ms);
-  }
 
   /// Checks the log and the workers' history by themselves.
   void checkHistory() {
@@ -410,8 +383,6 @@
     for (const std::string &Broken : Run.Broken)
       UNSCOPED_INFO(Broken);
     CHECK(Run.Broken.empty());
-    if (!Run.settled())
-      Run.dump(Seed);
     CHECK(Run.settled());
     Acknowledged += Run.Acknowledged.size();
   }
--- a/src/pistachioflow/daemon/node.cpp
+++ b/src/pistachioflow/daemon/node.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "pistachioflow/base/log.hpp"
+#include "pistachioflow/explain/record_events.hpp"
 #include "pistachioflow/peer/config_forwarding.hpp"
 
 namespace pistachioflow {
@@ -80,13 +81,14 @@
 Node::Node(const DaemonSettings &Settings, const Clock &Time,
            std::uint64_t Seed)
     : Settings(Settings), Time(Time), Journal(Settings.Limits.JournalEvents),
+      History(Settings.Limits.JournalEvents),
       Platform(Settings, Time, this->Metrics),
       Config(this->Platform.Log, Time, Settings.Instance, Seed + ConfigSeed),
       Keys(this->Platform.Log, Time, keySettings(Settings, Seed)),
       Members(Settings.Instance, Time), WorkerPool(Settings.Threads.Workers),
       Ticks(Settings.Threads.Cells + Settings.Threads.Logs),
       Cells(Settings.Instance, Settings.Domain, Settings.Cell,
-            cellSettings(Settings), this->cellPorts(Seed), {}),
+            cellSettings(Settings), this->cellPorts(Seed), this->historyTap()),
       Requests(requestSettings(Settings, Seed), this->requestPorts()),
       Peers(peerSettings(Settings, Seed), Time, this->peerHandlers()) {}
 
@@ -104,6 +106,23 @@
                    Seed + CellSeed};
 }
 
+RecordTap Node::historyTap() {
+  return [this](const StreamName &Stream, const StreamRecord &Read,
+                const FoldedRecord &Folded) {
+    explain::RecordFate Fate;
+    Fate.Void = !Folded.Valid;
+    for (std::size_t At = 0; At < Folded.Applied.size(); ++At) {
+      if (!Folded.Applied[At])
+        Fate.DroppedDecisions.push_back(At);
+    }
+    for (TimelineEvent &Event :
+         explain::eventsOf(Read.What, Stream, Read.At, Fate)) {
+      if (!explain::isRoutine(Event))
+        this->History.add(std::move(Event));
+    }
+  };
+}
+
 RequestPorts Node::requestPorts() {
   const auto CurrentLists = [this]() -> std::shared_ptr<const Lists> {
     if (!this->Config.mayTakeNewWork())
@@ -206,6 +225,10 @@
   return Status;
 }
 
+policy::Settings Node::preferences() const {
+  return cellSettings(this->Settings).Prefer;
+}
+
 bool Node::ready() const {
   return this->Started && !this->Members.leaving() &&
          this->Config.mayTakeNewWork();
--- a/src/pistachioflow/daemon/node.hpp
+++ b/src/pistachioflow/daemon/node.hpp
@@ -54,10 +54,14 @@
 
   LocalStatus status() const;
 
+  /// Returns what the decisions of this cluster prefer.
+  policy::Settings preferences() const;
+
   const DaemonSettings Settings;
   const Clock &Time;
   MetricRegistry Metrics;
-  EventJournal Journal;
+  EventJournal Journal; ///< What no stream carries.
+  EventJournal History; ///< What the cells' streams said last.
   PlatformPorts Platform;
   ConfigController Config;
   KeyController Keys;
@@ -70,6 +74,7 @@
 
 private:
   CellPorts cellPorts(std::uint64_t Seed);
+  RecordTap historyTap();
   RequestPorts requestPorts();
   PeerHandlers peerHandlers();
   void startTicks();
--- a/src/pistachioflow/daemon/node_backend.cpp
+++ b/src/pistachioflow/daemon/node_backend.cpp
@@ -3,6 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "pistachioflow/explain/cell_texts.hpp"
+#include "pistachioflow/explain/record_events.hpp"
+#include "pistachioflow/explain/what_if.hpp"
+
 namespace pistachioflow {
 
 namespace {
@@ -43,9 +47,27 @@
 }
 
 bool matches(const TimelineEvent &Event, const TimelineQuery &Query) {
-  return (Query.AnyKind || Event.Kind == Query.Kind) &&
-         (Query.Subject.empty() || Event.Subject == Query.Subject) &&
-         Event.Wall >= Query.Since;
+  if (Event.Wall < Query.Since)
+    return false;
+  if (Query.AnyKind)
+    return Query.Subject.empty() || Event.Subject == Query.Subject;
+  return (Query.Subject.empty() && Event.Kind == Query.Kind) ||
+         explain::concerns(Event, Query.Kind, Query.Subject);
+}
+
+/// Explains what the cell's state and the events tell of the subject.
+Result<std::string> explainIn(const explain::CellView &View, SubjectKind Kind,
+                              const std::string &Subject) {
+  switch (Kind) {
+  case SubjectKind::Job:
+    return explain::explainJob(View, {Subject});
+  case SubjectKind::Workspace:
+    return explain::explainWorkspace(View, {Subject});
+  case SubjectKind::Worker:
+    return explain::explainWorker(View, {Subject});
+  default:
+    return explain::explainFromEvents(View.Events, Kind, Subject);
+  }
 }
 
 } // namespace
@@ -63,13 +85,25 @@
 }
 
 Result<std::string> NodeBackend::whatIfPlans(const PlansEdited &Edit) {
-  BOOST_OUTCOME_TRY(this->Parts.Config.tryPlans(Edit));
-  return std::string("The edit would be accepted.");
+  BOOST_OUTCOME_TRY(After, this->Parts.Config.tryPlans(Edit));
+  return this->describeEdit(After);
 }
 
 Result<std::string> NodeBackend::whatIfLimits(const LimitsEdited &Edit) {
-  BOOST_OUTCOME_TRY(this->Parts.Config.tryLimits(Edit));
-  return std::string("The edit would be accepted.");
+  BOOST_OUTCOME_TRY(After, this->Parts.Config.tryLimits(Edit));
+  return this->describeEdit(After);
+}
+
+std::string NodeBackend::describeEdit(const Lists &After) const {
+  std::string Text;
+  for (const CellController *Cell : this->Parts.Cells.all()) {
+    Cell->read([&](const CellFold &Fold) {
+      const explain::CellView View{
+          Fold.Cell, this->Parts.preferences(), Fold.Time.Now, {}};
+      Text += explain::whatIfText(explain::whatIf(View, After));
+    });
+  }
+  return Text;
 }
 
 Result<void> NodeBackend::checkTakesWork() const {
@@ -127,11 +161,33 @@
 }
 
 RequestOutcome NodeBackend::request(const CallerRequest &Request) {
-  return this->Parts.Requests.handle(Request);
+  {
+    const std::lock_guard Guard(this->Lock);
+    this->InProgress.emplace(Request.Request, Request.Workspace);
+  }
+  RequestOutcome Outcome = this->Parts.Requests.handle(Request);
+  const std::lock_guard Guard(this->Lock);
+  const auto [First, Last] = this->InProgress.equal_range(Request.Request);
+  const auto Mine = std::find_if(First, Last, [&](const auto &Entry) {
+    return Entry.second == Request.Workspace;
+  });
+  if (Mine != Last)
+    this->InProgress.erase(Mine);
+  return Outcome;
+}
+
+void NodeBackend::cancelRequest(const RequestId &Request) {
+  WorkspaceId Workspace;
+  {
+    const std::lock_guard Guard(this->Lock);
+    // Requests of several workspaces may have the same id: cancel none of them.
+    if (this->InProgress.count(Request) != 1)
+      return;
+    Workspace = this->InProgress.find(Request)->second;
+  }
+  this->Parts.Requests.cancel(Workspace, Request);
 }
 
-void NodeBackend::cancelRequest(const RequestId &) {}
-
 NodeStatus NodeBackend::ownStatus() const {
   return toNodeStatus(this->Parts.Settings.Instance, this->Parts.status());
 }
@@ -155,19 +211,37 @@
   return View;
 }
 
+std::vector<TimelineEvent> NodeBackend::events() const {
+  std::vector<TimelineEvent> Events = this->Parts.History.events();
+  for (TimelineEvent &Event : this->Parts.Journal.events())
+    Events.push_back(std::move(Event));
+  return Events;
+}
+
 TimelineView NodeBackend::timeline(const TimelineQuery &Query) {
   TimelineView View;
-  for (TimelineEvent &Event : this->Parts.Journal.events()) {
+  for (TimelineEvent &Event : this->events()) {
     if (matches(Event, Query))
       View.Events.push_back(std::move(Event));
   }
-  View.Dropped = this->Parts.Journal.dropped();
+  View.Dropped = this->Parts.Journal.dropped() + this->Parts.History.dropped();
   return View;
 }
 
-Result<std::string> NodeBackend::explain(SubjectKind,
+Result<std::string> NodeBackend::explain(SubjectKind Kind,
                                          const std::string &Subject) {
-  return Error{ErrorCode::NotFound, "nothing is known of " + Subject, {}};
+  const std::vector<TimelineEvent> Events = this->events();
+  Result<std::string> Text =
+      Error{ErrorCode::NotFound, "nothing is known of " + Subject, {}};
+  for (const CellController *Cell : this->Parts.Cells.all()) {
+    Cell->read([&](const CellFold &Fold) {
+      const explain::CellView View{Fold.Cell, this->Parts.preferences(),
+                                   Fold.Time.Now, Events};
+      if (Text.has_error())
+        Text = explainIn(View, Kind, Subject);
+    });
+  }
+  return Text;
 }
 
 bool NodeBackend::ready() { return this->Parts.ready(); }
--- a/src/pistachioflow/daemon/node_backend.hpp
+++ b/src/pistachioflow/daemon/node_backend.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <map>
+#include <mutex>
+
 #include "pistachioflow/api/backend.hpp"
 #include "pistachioflow/daemon/node.hpp"
 
@@ -37,8 +40,13 @@
   Result<void> checkTakesWork() const;
   Result<JobView> findJob(const JobId &Job) const;
   NodeStatus ownStatus() const;
+  std::vector<TimelineEvent> events() const;
+  std::string describeEdit(const Lists &After) const;
 
   Node &Parts;
+  std::mutex Lock;
+  /// The workspaces of the requests in progress.
+  std::multimap<RequestId, WorkspaceId> InProgress;
 };
 
 } // namespace pistachioflow
