--- a/src/pistachioflow/ctl/inspect_commands.cpp
+++ b/src/pistachioflow/ctl/inspect_commands.cpp
@@ -2,6 +2,7 @@
 #include <array>
 #include <iostream>
 
+#include "pistachioflow/codec/settings.hpp"
 #include "pistachioflow/ctl/command.hpp"
 
 namespace pistachioflow::ctl {
@@ -36,7 +37,21 @@
   return ExitCode::Done;
 }
 
+ExitCode checkSettings(const Options &Flags, Arguments Given) {
+  const Result<DaemonSettings> Settings = loadSettings(Given[0]);
+  if (Settings.has_error()) {
+    std::cerr << Settings.error().Message << "\n"
+              << formatFindings(Settings.error().Details);
+    return ExitCode::Usage;
+  }
+  print(Flags,
+        {{"instance", Settings.value().Instance.Value}, {"settings", "valid"}});
+  return ExitCode::Done;
+}
+
 constexpr Command Commands[] = {
+    {"check-settings", "FILE", "Checks the settings of a daemon.", 1, 1,
+     checkSettings},
     {"nodes", "", "Shows the instances and the revisions in force on each.", 0,
      0, nodes},
     {"explain", "KIND ID",
