--- a/src/pistachioflow/daemon/node.hpp
+++ b/src/pistachioflow/daemon/node.hpp
@@ -12,6 +12,7 @@
 #include "pistachioflow/daemon/member_board.hpp"
 #include "pistachioflow/daemon/platform_ports.hpp"
 #include "pistachioflow/daemon/schedule.hpp"
+#include "pistachioflow/daemon/stream_history.hpp"
 #include "pistachioflow/filter/request_service.hpp"
 #include "pistachioflow/peer/peer_exchange.hpp"
 
@@ -54,15 +55,12 @@
 
   LocalStatus status() const;
 
-  /// Returns what the decisions of this cluster prefer.
-  policy::Settings preferences() const;
-
   const DaemonSettings Settings;
   const Clock &Time;
   MetricRegistry Metrics;
   EventJournal Journal; ///< What no stream carries.
-  EventJournal History; ///< What the cells' streams said last.
   PlatformPorts Platform;
+  StreamHistory History;
   ConfigController Config;
   KeyController Keys;
   MemberBoard Members;
@@ -74,7 +72,6 @@
 
 private:
   CellPorts cellPorts(std::uint64_t Seed);
-  RecordTap historyTap();
   RequestPorts requestPorts();
   PeerHandlers peerHandlers();
   void startTicks();
--- a/src/pistachioflow/daemon/node_backend.cpp
+++ b/src/pistachioflow/daemon/node_backend.cpp
@@ -3,9 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "pistachioflow/explain/cell_texts.hpp"
-#include "pistachioflow/explain/record_events.hpp"
-#include "pistachioflow/explain/what_if.hpp"
+#include "pistachioflow/daemon/explanations.hpp"
 
 namespace pistachioflow {
 
@@ -46,30 +44,6 @@
   return Status;
 }
 
-bool matches(const TimelineEvent &Event, const TimelineQuery &Query) {
-  if (Event.Wall < Query.Since)
-    return false;
-  if (Query.AnyKind)
-    return Query.Subject.empty() || Event.Subject == Query.Subject;
-  return (Query.Subject.empty() && Event.Kind == Query.Kind) ||
-         explain::concerns(Event, Query.Kind, Query.Subject);
-}
-
-/// Explains what the cell's state and the events tell of the subject.
-Result<std::string> explainIn(const explain::CellView &View, SubjectKind Kind,
-                              const std::string &Subject) {
-  switch (Kind) {
-  case SubjectKind::Job:
-    return explain::explainJob(View, {Subject});
-  case SubjectKind::Workspace:
-    return explain::explainWorkspace(View, {Subject});
-  case SubjectKind::Worker:
-    return explain::explainWorker(View, {Subject});
-  default:
-    return explain::explainFromEvents(View.Events, Kind, Subject);
-  }
-}
-
 } // namespace
 
 Lists NodeBackend::lists() { return this->Parts.Config.lists(); }
@@ -85,25 +59,13 @@
 }
 
 Result<std::string> NodeBackend::whatIfPlans(const PlansEdited &Edit) {
-  BOOST_OUTCOME_TRY(After, this->Parts.Config.tryPlans(Edit));
-  return this->describeEdit(After);
+  BOOST_OUTCOME_TRY(Edited, this->Parts.Config.tryPlans(Edit));
+  return "The edit would be accepted.\n" + trialText(this->Parts, Edited);
 }
 
 Result<std::string> NodeBackend::whatIfLimits(const LimitsEdited &Edit) {
-  BOOST_OUTCOME_TRY(After, this->Parts.Config.tryLimits(Edit));
-  return this->describeEdit(After);
-}
-
-std::string NodeBackend::describeEdit(const Lists &After) const {
-  std::string Text;
-  for (const CellController *Cell : this->Parts.Cells.all()) {
-    Cell->read([&](const CellFold &Fold) {
-      const explain::CellView View{
-          Fold.Cell, this->Parts.preferences(), Fold.Time.Now, {}};
-      Text += explain::whatIfText(explain::whatIf(View, After));
-    });
-  }
-  return Text;
+  BOOST_OUTCOME_TRY(Edited, this->Parts.Config.tryLimits(Edit));
+  return "The edit would be accepted.\n" + trialText(this->Parts, Edited);
 }
 
 Result<void> NodeBackend::checkTakesWork() const {
@@ -211,37 +173,13 @@
   return View;
 }
 
-std::vector<TimelineEvent> NodeBackend::events() const {
-  std::vector<TimelineEvent> Events = this->Parts.History.events();
-  for (TimelineEvent &Event : this->Parts.Journal.events())
-    Events.push_back(std::move(Event));
-  return Events;
-}
-
 TimelineView NodeBackend::timeline(const TimelineQuery &Query) {
-  TimelineView View;
-  for (TimelineEvent &Event : this->events()) {
-    if (matches(Event, Query))
-      View.Events.push_back(std::move(Event));
-  }
-  View.Dropped = this->Parts.Journal.dropped() + this->Parts.History.dropped();
-  return View;
+  return gatherTimeline(this->Parts, Query);
 }
 
 Result<std::string> NodeBackend::explain(SubjectKind Kind,
                                          const std::string &Subject) {
-  const std::vector<TimelineEvent> Events = this->events();
-  Result<std::string> Text =
-      Error{ErrorCode::NotFound, "nothing is known of " + Subject, {}};
-  for (const CellController *Cell : this->Parts.Cells.all()) {
-    Cell->read([&](const CellFold &Fold) {
-      const explain::CellView View{Fold.Cell, this->Parts.preferences(),
-                                   Fold.Time.Now, Events};
-      if (Text.has_error())
-        Text = explainIn(View, Kind, Subject);
-    });
-  }
-  return Text;
+  return explainSubject(this->Parts, Kind, Subject);
 }
 
 bool NodeBackend::ready() { return this->Parts.ready(); }
--- a/src/pistachioflow/daemon/node_backend.hpp
+++ b/src/pistachioflow/daemon/node_backend.hpp
@@ -40,8 +40,6 @@
   Result<void> checkTakesWork() const;
   Result<JobView> findJob(const JobId &Job) const;
   NodeStatus ownStatus() const;
-  std::vector<TimelineEvent> events() const;
-  std::string describeEdit(const Lists &After) const;
 
   Node &Parts;
   std::mutex Lock;
