--- a/include/pistachioflow/explain/record_events.hpp
+++ b/include/pistachioflow/explain/record_events.hpp
@@ -19,7 +19,7 @@
 };
 
 /// Returns the events that a record stands for, in its own order. Every payload
-/// has at least one; an empty batch has none.
+/// has at least one; an empty batch has none, nor has the mere passing of time.
 /// Thread safety: may be called from any thread.
 std::vector<TimelineEvent> eventsOf(const Record &Value,
                                     const StreamName &Stream, std::uint64_t At,
--- a/src/pistachioflow/explain/record_events.cpp
+++ b/src/pistachioflow/explain/record_events.cpp
@@ -119,6 +119,8 @@
 
   void addFacts(const std::vector<Event> &Facts) {
     for (const Event &Fact : Facts) {
+      if (std::holds_alternative<TimePassed>(Fact))
+        continue;
       EventPart Part = describeFact(Fact);
       Reason Why;
       Why.Code = Part.Code;
--- a/src/pistachioflow/explain/timeline_page.cpp
+++ b/src/pistachioflow/explain/timeline_page.cpp
@@ -186,12 +186,17 @@
   return Html + "<span><i class=\"hollow\"></i>order uncertain</span></p>\n";
 }
 
+/// A report of what happened has no reason.
+std::string_view codeText(ReasonCode Code) {
+  return Code == ReasonCode::None ? "" : toString(Code);
+}
+
 std::string tableRow(const Mark &Item) {
   const TimelineEvent &Event = Item.Item->Event;
   return "<tr id=\"e" + std::to_string(Item.Number) + "\"><td>" +
          std::to_string(Item.Number) + (Item.Item->OrderUncertain ? " ~" : "") +
          "</td><td>" + escaped(originText(Event)) + "</td><td><code>" +
-         escaped(toString(Event.Why.Code)) + "</code></td><td>" +
+         escaped(codeText(Event.Why.Code)) + "</code></td><td>" +
          escaped(sentence(Event)) + "</td></tr>\n";
 }
 
