--- /dev/null
+++ b/bench/policy_baselines.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <span>
+#include <tuple>
+#include <vector>
+
+#include "pistachioflow/policy/admission.hpp"
+#include "pistachioflow/policy/expected_start.hpp"
+#include "pistachioflow/policy/plan.hpp"
+#include "pistachioflow/policy/queue_cursor.hpp"
+#include "pistachioflow/policy/rooms.hpp"
+#include "pistachioflow/policy/stops.hpp"
+
+namespace pistachioflow::bench {
+
+using namespace pistachioflow::policy;
+
+/// The schedulers that the decisions are compared with. They admit, start and
+/// stop like them, without guarantees, reclaim, quarantine or correction.
+enum class Baseline {
+  FirstFit,        ///< In order of arrival; the first that does not fit waits.
+  EasyBackfill,    ///< The same, with backfill behind the first that waits.
+  BestFitPriority, ///< Urgent, then small first; the tightest fit; no waiting.
+};
+
+/// Every queued job, in the baseline's order.
+inline std::vector<const JobState *> orderOf(const Plan &Draft, Baseline Kind) {
+  std::vector<const JobState *> Jobs;
+  for (const auto &[Name, Workspace] : Draft.Index.Workspaces)
+    for (const auto *Queues : {&Workspace.Queues, &Workspace.UrgentQueues})
+      for (const auto &[Shape, Queue] : *Queues)
+        for (const QueueKey &Key : Queue)
+          if (!Draft.Touched.contains(Key.Job))
+            Jobs.push_back(Key.State);
+  const auto Arrival = [](const JobState *Job) {
+    return std::tuple(Job->SubmittedAt, Job->Spec.Job);
+  };
+  std::ranges::sort(Jobs, {}, Arrival);
+  if (Kind == Baseline::BestFitPriority)
+    std::ranges::stable_sort(Jobs, {}, [](const JobState *Job) {
+      return std::tuple(!Job->Spec.Urgent, Job->Spec.Shape.accelerators());
+    });
+  return Jobs;
+}
+
+inline std::optional<Shares> placeFor(Plan &Draft, const JobState &Job,
+                                      const Rooms &Room, Baseline Kind) {
+  if (Kind == Baseline::BestFitPriority)
+    return placeTightly(Draft, Job.Spec.Shape, Room);
+  const auto Any = [](std::span<const SlotShare>) { return 0; };
+  return findPlacement({Draft.Cap, Job.Spec.Shape, Room}, Any,
+                       Draft.Work.PlacementsWeighed);
+}
+
+inline void startJobs(Plan &Draft, Baseline Kind) {
+  std::set<ShapeKey> NoRoom;
+  for (const JobState *Job : orderOf(Draft, Kind)) {
+    const ShapeKey Shape = keyOf(Job->Spec.Shape);
+    if (NoRoom.contains(Shape) || !Draft.underCeiling(*Job))
+      continue;
+    if (const auto At =
+            placeFor(Draft, *Job, roomToBackfill(Draft, *Job), Kind)) {
+      Draft.start(*Job, *At, true, {});
+      continue;
+    }
+    if (Kind == Baseline::FirstFit)
+      return;
+    if (Draft.Kept.empty())
+      NoRoom.insert(Shape);
+    if (Kind != Baseline::EasyBackfill || !Draft.Kept.empty())
+      continue;
+    if (const auto Found = findExpectedStart(Draft, *Job))
+      Draft.Kept.push_back(
+          {Job->Spec.Job, Found->Start, Job->Spec.Shape, Found->At});
+  }
+}
+
+/// Folds a fact, decides as the baseline does, and applies.
+inline std::vector<Decision> stepBaseline(Baseline Kind, CellState &State,
+                                          const Event &Fact,
+                                          const Settings &Prefer, Instant Now) {
+  observe(State, Fact, Now);
+  std::vector<Decision> All;
+  for (int Round = 0; Round < 4; ++Round) {
+    if (!State.Index.Built)
+      State.Index = buildIndex(State);
+    WorkCount Work;
+    Plan Draft(State, State.Index, Prefer, Now, Work);
+    decideStops(Draft);
+    decideAdmissions(Draft);
+    startJobs(Draft, Kind);
+    if (Draft.Made.empty())
+      break;
+    for (Decision &Next : Draft.Made) {
+      apply(State, Next.What, Now);
+      All.push_back(std::move(Next));
+    }
+  }
+  return All;
+}
+
+} // namespace pistachioflow::bench
--- a/include/pistachioflow/controller/keys.hpp
+++ b/include/pistachioflow/controller/keys.hpp
@@ -35,8 +35,8 @@
   /// Blocks until the key is decided or \p Asked.Deadline is reached.
   BeginAnswer begin(const KeyBegin &Asked);
 
-  /// Notes the outcome of a claim that begin() answered with First. Precondition:
-  /// called once for each such claim. Does not block.
+  /// Notes the outcome of a claim that begin() answered with First.
+  /// Precondition: called once for each such claim. Does not block.
   void end(const KeyBegin &Asked, std::uint64_t Claim, RequestOutcome Outcome);
 
   /// Appends and reads once in every stream. Returns whether the log could be
--- a/include/pistachioflow/filter/admission_queue.hpp
+++ b/include/pistachioflow/filter/admission_queue.hpp
@@ -63,8 +63,7 @@
   /// Takes out one request that cannot end by its deadline if its class takes
   /// \p Usual from \p Now on.
   std::optional<WaitingRequest>
-  takeHopeless(Instant Now,
-               const std::array<Duration, RequestClasses> &Usual);
+  takeHopeless(Instant Now, const std::array<Duration, RequestClasses> &Usual);
 
   /// Returns how many requests would be served before a new one of \p Class.
   std::size_t ahead(RequestClass Class) const;
--- a/include/pistachioflow/filter/retry.hpp
+++ b/include/pistachioflow/filter/retry.hpp
@@ -39,11 +39,11 @@
 /// What is known after an exchange with a runner.
 struct SendFacts {
   SendState State = SendState::NotSent;
-  bool OwnAnswer = false;     ///< The answer names this request.
+  bool OwnAnswer = false; ///< The answer names this request.
   bool NonIdempotent = false;
-  bool MayHaveRun = false;    ///< An earlier send of it may have run.
+  bool MayHaveRun = false; ///< An earlier send of it may have run.
   bool Cancelled = false;
-  bool TimeLeft = false;      ///< For a backoff and another run.
+  bool TimeLeft = false; ///< For a backoff and another run.
 };
 
 enum class SendVerdict : std::uint8_t {
--- a/include/pistachioflow/filter/routing.hpp
+++ b/include/pistachioflow/filter/routing.hpp
@@ -16,13 +16,13 @@
 struct RoutingSettings {
   std::uint32_t FailuresToEject = 2; ///< In a row.
   double SlowFactor = 3.0;           ///< Times the usual time of the class.
-  std::uint32_t SlowSamples = 4;     ///< Answers before a runner counts as slow.
-  double MaxSlowShare = 0.2;         ///< Of all runners, ejected as slow.
-  double MaxFailingShare = 0.6;      ///< Of all runners, ejected as failing.
-  Duration EjectFor{5'000};          ///< Doubled with each ejection in a row.
+  std::uint32_t SlowSamples = 4; ///< Answers before a runner counts as slow.
+  double MaxSlowShare = 0.2;     ///< Of all runners, ejected as slow.
+  double MaxFailingShare = 0.6;  ///< Of all runners, ejected as failing.
+  Duration EjectFor{5'000};      ///< Doubled with each ejection in a row.
   Duration LongestEjection{60'000};
   std::uint32_t ProbationAnswers = 2; ///< Good answers that end a probation.
-  double StallFactor = 3.0; ///< Usual times without any answer of a runner.
+  double StallFactor = 3.0;    ///< Usual times without any answer of a runner.
   std::uint32_t LocalBias = 2; ///< Slots more that a near runner may have busy.
 };
 
@@ -40,12 +40,13 @@
   RunnerHealth Health = RunnerHealth::Healthy;
   std::uint32_t FailuresInRow = 0;
   std::uint32_t Samples = 0;
-  double Slowness = 1.0;     ///< Moving average of time over the class's usual.
-  Instant EjectedUntil;      ///< Probation begins then.
+  double Slowness = 1.0; ///< Moving average of time over the class's usual.
+  Instant EjectedUntil;  ///< Probation begins then.
   std::uint32_t Ejections = 0; ///< In a row, without a return between.
   std::uint32_t GoodOnProbation = 0;
   Instant ProgressAt; ///< Last answer, or first send after none in flight.
-  bool Listed = true; ///< False: gone from the list, kept for what is in flight.
+  bool Listed =
+      true; ///< False: gone from the list, kept for what is in flight.
 
   std::uint32_t load() const { return this->Own + this->Peers; }
 };
@@ -54,10 +55,10 @@
 struct RouteQuery {
   DomainId Near;
   Instant Now;
-  double UsualMs = 0;        ///< Moving average of all answers; 0: none yet.
-  bool MayProbe = false;     ///< May go to a runner on probation.
-  bool EvenIfFull = false;   ///< May go to a runner that looks full.
-  RunnerId Avoid;            ///< The runner that failed this request last.
+  double UsualMs = 0;      ///< Moving average of all answers; 0: none yet.
+  bool MayProbe = false;   ///< May go to a runner on probation.
+  bool EvenIfFull = false; ///< May go to a runner that looks full.
+  RunnerId Avoid;          ///< The runner that failed this request last.
 };
 
 bool onProbation(const RunnerState &Runner, Instant Now);
--- a/src/pistachioflow/controller/keys.cpp
+++ b/src/pistachioflow/controller/keys.cpp
@@ -27,10 +27,10 @@
 void KeyController::start() {
   this->Started = true;
   for (const auto &Stream : this->Streams)
-    this->Threads.emplace_back([this, Each = Stream.get()](
-                                   const std::stop_token &Stop) {
-      this->run(Stop, *Each);
-    });
+    this->Threads.emplace_back(
+        [this, Each = Stream.get()](const std::stop_token &Stop) {
+          this->run(Stop, *Each);
+        });
 }
 
 void KeyController::stop() {
--- a/src/pistachioflow/controller/keys_stream.cpp
+++ b/src/pistachioflow/controller/keys_stream.cpp
@@ -70,17 +70,17 @@
                     RequestOutcome Outcome) {
   if (Outcome.Body.size() > this->Settings.MaxKeptBody) {
     const std::uint64_t Digest = digestBody(Outcome.Body);
-    Outcome.Why.PassedOver = "answer of " +
-                             std::to_string(Outcome.Body.size()) +
-                             " bytes not kept, digest " + std::to_string(Digest);
+    Outcome.Why.PassedOver =
+        "answer of " + std::to_string(Outcome.Body.size()) +
+        " bytes not kept, digest " + std::to_string(Digest);
     Outcome.State = RequestState::Unknown;
     Outcome.Body.clear();
   }
   const std::lock_guard Guard(this->Lock);
   if (Outcome.State == RequestState::NotRun)
     this->rememberGivenUp(Asked, Claim);
-  this->EndQueue.push_back({Asked.Workspace, Asked.Key, Asked.Request,
-                            std::move(Outcome), Claim});
+  this->EndQueue.push_back(
+      {Asked.Workspace, Asked.Key, Asked.Request, std::move(Outcome), Claim});
   this->Woken = true;
   this->WorkSignal.notify_one();
 }
@@ -148,8 +148,8 @@
   if (Entry.Phase == KeyPhase::Begun) {
     const Instant Since = this->BegunSeen[Entry.Key];
     Asked->At = Phase::Following;
-    Asked->GiveUpAt = std::min(Asked->Asked.Deadline,
-                               Since + this->Settings.UnknownAfter);
+    Asked->GiveUpAt =
+        std::min(Asked->Asked.Deadline, Since + this->Settings.UnknownAfter);
     this->Followers[Entry.Key].push_back(Asked);
     return;
   }
--- a/src/pistachioflow/controller/keys_stream_step.cpp
+++ b/src/pistachioflow/controller/keys_stream_step.cpp
@@ -79,9 +79,9 @@
     Asked->At = Phase::Appending;
     this->Appending[Asked->Claim] = Asked;
     const KeyBegin &Begin = Asked->Asked;
-    Keys.Records.push_back({RequestBegun{Begin.Workspace, Begin.Key,
-                                         Begin.Request, Asked->Claim,
-                                         Begin.BodyDigest}});
+    Keys.Records.push_back(
+        {RequestBegun{Begin.Workspace, Begin.Key, Begin.Request, Asked->Claim,
+                      Begin.BodyDigest}});
     Next.Begins.push_back(Asked);
   }
   Next.From = this->Cursor.Next;
@@ -130,8 +130,8 @@
   if (Read.Restarted)
     this->restart(Read);
   for (const StreamRecord &Each : Read.Records) {
-    const auto Changes = foldKeys(this->Table, Each.What, Each.At,
-                                  this->Settings.Retention);
+    const auto Changes =
+        foldKeys(this->Table, Each.What, Each.At, this->Settings.Retention);
     ++this->RecordsSinceSnapshot;
     if (std::holds_alternative<SnapshotTaken>(Each.What.What)) {
       this->RecordsSinceSnapshot = 0;
@@ -146,9 +146,9 @@
 void KeyStream::restart(const StreamBatch &Read) {
   auto Loaded = loadKeys(Read.Snapshot);
   if (Loaded.has_error()) {
-    logEvent(LogLevel::Error, "key_snapshot_damaged",
-             {{"stream", this->Name.Value},
-              {"message", Loaded.error().Message}});
+    logEvent(
+        LogLevel::Error, "key_snapshot_damaged",
+        {{"stream", this->Name.Value}, {"message", Loaded.error().Message}});
     return;
   }
   this->Table = std::move(Loaded.value());
@@ -265,8 +265,9 @@
   const OwnershipState &Owner = this->Table.Owner;
   if (Owner.At != Next || Owner.Owner != this->Settings.Self)
     return;
-  const Record Snapshot{this->newHeader(Next),
-                        SnapshotTaken{this->Cursor.Next, saveKeys(this->Table)}};
+  const Record Snapshot{
+      this->newHeader(Next),
+      SnapshotTaken{this->Cursor.Next, saveKeys(this->Table)}};
   const Offset Start = this->Cursor.Next;
   Guard.unlock();
   const AppendState Taken =
--- a/src/pistachioflow/controller/keys_table.cpp
+++ b/src/pistachioflow/controller/keys_table.cpp
@@ -20,8 +20,8 @@
 void retire(RetiredKeys &Retired, const KeyHash &Key,
             const KeyRetention &Retention) {
   auto &Generations = Retired.Generations;
-  const bool Full = Generations.empty() || Generations.back().size() >=
-                                               Retention.RetiredPerGeneration;
+  const bool Full = Generations.empty() ||
+                    Generations.back().size() >= Retention.RetiredPerGeneration;
   if (Full)
     Generations.emplace_back();
   if (Generations.size() > Retention.RetiredGenerations)
@@ -59,8 +59,7 @@
   KeyChange Change{KeyChange::Kind::Lost, Key, Begun.Claim, Header.Author};
   if (findKey(Table, Key) != nullptr || isRetired(Table, Key))
     return Change;
-  Table.Entries[Key] = {Key, Begun.Claim, Begun.BodyDigest, 0,
-                        KeyPhase::Begun};
+  Table.Entries[Key] = {Key, Begun.Claim, Begun.BodyDigest, 0, KeyPhase::Begun};
   Table.Order.push_back({Key, Begun.Claim});
   Change.What = KeyChange::Kind::Won;
   return Change;
--- a/src/pistachioflow/filter/admission.cpp
+++ b/src/pistachioflow/filter/admission.cpp
@@ -21,11 +21,9 @@
 
 const LimitsEntry *findLimits(const Lists &InForce, const PlanId &Plan) {
   const auto &Entries = InForce.Limits.Entries;
-  const auto Found =
-      std::find_if(Entries.begin(), Entries.end(),
-                   [&Plan](const LimitsEntry &Each) {
-                     return Each.Plan == Plan;
-                   });
+  const auto Found = std::find_if(
+      Entries.begin(), Entries.end(),
+      [&Plan](const LimitsEntry &Each) { return Each.Plan == Plan; });
   return Found == Entries.end() ? nullptr : &*Found;
 }
 
--- a/src/pistachioflow/filter/admission_queue.cpp
+++ b/src/pistachioflow/filter/admission_queue.cpp
@@ -10,8 +10,7 @@
 
 } // namespace
 
-AdmissionQueue::PushResult
-AdmissionQueue::push(const WaitingRequest &Request) {
+AdmissionQueue::PushResult AdmissionQueue::push(const WaitingRequest &Request) {
   PushResult Result;
   if (this->size() >= this->Settings.Capacity) {
     std::size_t Last = RequestClasses - 1;
@@ -39,9 +38,8 @@
   const std::size_t Due = this->dueClass();
   for (std::size_t Class = 0; Class < RequestClasses; ++Class) {
     const bool Waits = !this->Waiting[Class].empty();
-    this->Credit[Class] = Waits
-                              ? this->Credit[Class] + this->Settings.Floor[Class]
-                              : 0.0;
+    this->Credit[Class] =
+        Waits ? this->Credit[Class] + this->Settings.Floor[Class] : 0.0;
   }
   this->Credit[Due] = std::max(0.0, this->Credit[Due] - WholeGrant);
   const WaitingRequest Taken = this->Waiting[Due].front();
@@ -51,11 +49,9 @@
 
 bool AdmissionQueue::remove(std::uint64_t Ticket) {
   for (auto &Class : this->Waiting) {
-    const auto Found =
-        std::find_if(Class.begin(), Class.end(),
-                     [Ticket](const WaitingRequest &Each) {
-                       return Each.Ticket == Ticket;
-                     });
+    const auto Found = std::find_if(
+        Class.begin(), Class.end(),
+        [Ticket](const WaitingRequest &Each) { return Each.Ticket == Ticket; });
     if (Found == Class.end())
       continue;
     Class.erase(Found);
--- a/src/pistachioflow/filter/dispatch.cpp
+++ b/src/pistachioflow/filter/dispatch.cpp
@@ -50,9 +50,8 @@
   }
 }
 
-std::optional<ReasonCode> Dispatch::refuseEarly(RequestClass Class,
-                                                Instant Deadline,
-                                                Instant Now) const {
+std::optional<ReasonCode>
+Dispatch::refuseEarly(RequestClass Class, Instant Deadline, Instant Now) const {
   if (this->Runners.empty())
     return ReasonCode::RequestNoRunner;
   double WaitMs = 0;
@@ -173,7 +172,7 @@
   const bool Entitled = this->OwnTotal < Part;
   if (!Entitled && Has.Free <= Kept)
     return std::nullopt;
-  RouteQuery Query{this->Settings.Domain, Now,   this->UsualOfAllMs,
+  RouteQuery Query{this->Settings.Domain,  Now,   this->UsualOfAllMs,
                    !Request.NonIdempotent, false, Request.Avoid};
   auto Picked =
       pickRunner(this->Runners, Query, this->Settings.Routing, this->Random);
--- a/src/pistachioflow/filter/exchange.cpp
+++ b/src/pistachioflow/filter/exchange.cpp
@@ -45,8 +45,8 @@
   const bool Again = Context.Sends > 0;
   WaitingRequest Waiting{0, Request.Class, Request.NonIdempotent,
                          Request.Deadline, std::exchange(Context.Runner, {})};
-  const DispatchTurn Turn = Parts.Turns.wait(std::move(Waiting), Again,
-                                             Context.Active->Cancelled);
+  const DispatchTurn Turn =
+      Parts.Turns.wait(std::move(Waiting), Again, Context.Active->Cancelled);
   if (Turn.Runner.empty())
     return giveUp(Context, Turn.Why);
   Context.Runner = Turn.Runner;
@@ -74,10 +74,10 @@
   if (Foreign)
     Parts.ForeignAnswers.add();
   const SendState Known = Foreign ? SendState::Lost : Context.Answer.State;
-  Parts.Turns.finished({Context.Runner, Context.Request->Class, Known,
-                        Parts.Sleep ? static_cast<double>(TookByClock.Ms)
-                                    : Took.count(),
-                        Tried});
+  Parts.Turns.finished(
+      {Context.Runner, Context.Request->Class, Known,
+       Parts.Sleep ? static_cast<double>(TookByClock.Ms) : Took.count(),
+       Tried});
   return FilterStep::Next;
 }
 
@@ -91,9 +91,9 @@
   const Instant NextStart = Parts.Time.monotonic() + Backoff;
   const Instant NextEnd = NextStart + Parts.Turns.usual(Request.Class);
   const bool OwnAnswer = Context.Answer.Request == Context.Wire.Request;
-  const SendFacts Facts{Context.Answer.State,       OwnAnswer,
-                        Request.NonIdempotent,      Context.MayHaveRun,
-                        Context.Active->Cancelled,  NextEnd < Request.Deadline};
+  const SendFacts Facts{Context.Answer.State,      OwnAnswer,
+                        Request.NonIdempotent,     Context.MayHaveRun,
+                        Context.Active->Cancelled, NextEnd < Request.Deadline};
   const SendVerdict Verdict = judgeSend(Facts);
   Context.MayHaveRun = mayHaveRun(Facts);
   if (Verdict == SendVerdict::Done) {
--- a/src/pistachioflow/filter/limits.cpp
+++ b/src/pistachioflow/filter/limits.cpp
@@ -66,8 +66,7 @@
   return Found == Place.Used.end() ? 0 : Found->second.InFlight;
 }
 
-WorkspaceLimits::Shard &
-WorkspaceLimits::shardOf(const WorkspaceId &Workspace) {
+WorkspaceLimits::Shard &WorkspaceLimits::shardOf(const WorkspaceId &Workspace) {
   return this->Held[std::hash<WorkspaceId>{}(Workspace) % Shards];
 }
 
--- a/src/pistachioflow/filter/request_service.cpp
+++ b/src/pistachioflow/filter/request_service.cpp
@@ -73,10 +73,11 @@
             Ports.Metrics.counter("pistachioflow_requests_admitted")} {
   for (std::size_t Index = 0; Index < RequestClasses; ++Index) {
     const auto Class = static_cast<RequestClass>(Index);
-    this->ByClass[Index] = {&Ports.Metrics.counter(metricName("done", Class)),
-                            &Ports.Metrics.counter(metricName("not_run", Class)),
-                            &Ports.Metrics.counter(metricName("unknown", Class)),
-                            &Ports.Metrics.latency(metricName("ms", Class))};
+    this->ByClass[Index] = {
+        &Ports.Metrics.counter(metricName("done", Class)),
+        &Ports.Metrics.counter(metricName("not_run", Class)),
+        &Ports.Metrics.counter(metricName("unknown", Class)),
+        &Ports.Metrics.latency(metricName("ms", Class))};
   }
 }
 
@@ -141,8 +142,7 @@
 
 bool RequestService::refresh() {
   const auto Listed = this->Runners.runners();
-  const std::uint32_t Instances =
-      std::max(this->Parts.Fleet().Instances, 1U);
+  const std::uint32_t Instances = std::max(this->Parts.Fleet().Instances, 1U);
   if (Listed.has_error())
     return false;
   this->Parts.Turns.refresh(Listed.value(), Instances);
@@ -163,8 +163,7 @@
   const std::int64_t From = this->DrainFromMs;
   if (From == NotDraining)
     return false;
-  return this->Time.monotonic() >=
-         Instant{From} + this->Settings.DrainGrace;
+  return this->Time.monotonic() >= Instant{From} + this->Settings.DrainGrace;
 }
 
 RequestService::ActiveShard &RequestService::shardOf(const std::string &Name) {
@@ -183,8 +182,7 @@
 }
 
 void RequestService::note(const RequestContext &Context) {
-  const ClassMetrics &Metrics =
-      this->ByClass[indexOf(Context.Request->Class)];
+  const ClassMetrics &Metrics = this->ByClass[indexOf(Context.Request->Class)];
   const Duration Took = this->Time.monotonic() - Context.ArrivedAt;
   switch (Context.Outcome.State) {
   case RequestState::Done:
--- a/src/pistachioflow/filter/routing.cpp
+++ b/src/pistachioflow/filter/routing.cpp
@@ -41,11 +41,10 @@
 
 std::size_t leastLoaded(std::span<const RunnerState> Runners,
                         const Candidates &From) {
-  return *std::min_element(From.begin(), From.end(),
-                           [Runners](std::size_t Left, std::size_t Right) {
-                             return usedShare(Runners[Left]) <
-                                    usedShare(Runners[Right]);
-                           });
+  return *std::min_element(
+      From.begin(), From.end(), [Runners](std::size_t Left, std::size_t Right) {
+        return usedShare(Runners[Left]) < usedShare(Runners[Right]);
+      });
 }
 
 /// Returns a candidate on probation that waits for its probe, if any.
@@ -147,8 +146,8 @@
   if (Near.empty())
     return Far;
   const std::size_t Close = twoChoices(Runners, Near, Random);
-  const bool Waits = Runners[Close].load() >
-                     Runners[Far].load() + Settings.LocalBias;
+  const bool Waits =
+      Runners[Close].load() > Runners[Far].load() + Settings.LocalBias;
   return Waits ? Far : Close;
 }
 
