Keep homes for gangs that fill at least half of them

Cause: one-accelerator jobs of a workspace sat in its own homes, so that its guaranteed gangs found none idle, and home racks were scattered. Change: only gangs of at least half a home use it; smaller ones borrow.

--- a/bench/policy_replay.cpp
+++ b/bench/policy_replay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -123,15 +124,24 @@
             "| --- | --- | --- | --- |");
 }
 
+/// Tells whether the arguments, where there are any, name the contender.
+bool isWanted(const Contender &Who, std::span<char *> Names) {
+  return Names.empty() || std::ranges::find(Names, Who.Name) != Names.end();
+}
+
 } // namespace
 
-int main() {
+int main(int Count, char **Arguments) {
+  const std::span<char *> Names(Arguments + 1,
+                                static_cast<std::size_t>(Count - 1));
   printHead();
   std::size_t Violations = 0;
   for (const Deployment *Of : {&Almaty, &HallettMarsh})
     for (const double Load : {0.7, 0.95, 1.2}) {
       const Workload Jobs = WorkloadMaker(*Of, Load, Seed).make();
       for (const Contender &Who : contenders()) {
+        if (!isWanted(Who, Names))
+          continue;
         ReplayOptions Options;
         Options.Prefer = Of->Preset;
         Options.Seed = Seed;
--- a/src/pistachioflow/policy/guaranteed.cpp
+++ b/src/pistachioflow/policy/guaranteed.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "pistachioflow/policy/capacity.hpp"
+#include "pistachioflow/policy/home_use.hpp"
 #include "pistachioflow/policy/queue_cursor.hpp"
 #include "pistachioflow/policy/reasons.hpp"
 #include "pistachioflow/policy/reclaim.hpp"
@@ -12,12 +13,24 @@
 
 namespace {
 
-/// Returns what is idle of the homes of the job's workspace.
+/// Returns what is idle of the homes that the job may use.
 Rooms roomInHomes(Plan &Draft, const JobState &Job) {
   Rooms Room(Draft.Cap.Slots.size());
-  for (const HomePart &Part : Draft.use(Job.Spec.Workspace).Parts)
-    if (Draft.Cap.Slots[Part.Slot].Usable)
-      Room[Part.Slot] = most(Part.Total - Part.Used, {});
+  const auto &Homes = Draft.MovedHomes ? *Draft.MovedHomes : Draft.State.Homes;
+  for (const Home &Of : Homes) {
+    if (Of.Workspace != Job.Spec.Workspace ||
+        !mayUseHome(Job.Spec.Shape, Of.Shape))
+      continue;
+    for (const Placement &Place : Of.Placements)
+      if (const auto Slot = Draft.Index.SlotOf.find(Place.Worker);
+          Slot != Draft.Index.SlotOf.end())
+        Room[Slot->second] += perTask(Of.Shape) * Place.Tasks;
+  }
+  for (const HomePart &Part : Draft.use(Job.Spec.Workspace).Parts) {
+    const bool Usable = Draft.Cap.Slots[Part.Slot].Usable;
+    const Amount Idle = most(Part.Total - Part.Used, {});
+    Room[Part.Slot] = Usable ? least(Room[Part.Slot], Idle) : Amount{};
+  }
   leaveOutFailed(Draft, Job, Room);
   return Room;
 }
--- a/src/pistachioflow/policy/home_use.cpp
+++ b/src/pistachioflow/policy/home_use.cpp
@@ -32,6 +32,18 @@
   return true;
 }
 
+/// Tells whether all workers of the gang are in homes that it may use.
+bool isOnUsableHomes(const CellState &State, const JobState &Job) {
+  return std::ranges::all_of(Job.Placements, [&](const Placement &Place) {
+    return std::ranges::any_of(State.Homes, [&](const Home &Of) {
+      return Of.Workspace == Job.Spec.Workspace &&
+             mayUseHome(Job.Spec.Shape, Of.Shape) &&
+             std::ranges::find(Of.Placements, Place.Worker,
+                               &Placement::Worker) != Of.Placements.end();
+    });
+  });
+}
+
 void classifyWorkspace(CellState &State, const WorkspaceId &Workspace,
                        std::span<const JobId> Active) {
   HomeRoom Room = roomOfHomes(State, Workspace);
@@ -40,7 +52,7 @@
       JobState &Job = State.Jobs.at(Name);
       if (Job.Borrowed != WasBorrowed)
         continue;
-      const bool Borrows = !takeRoom(Room, Job);
+      const bool Borrows = !isOnUsableHomes(State, Job) || !takeRoom(Room, Job);
       if (Borrows == Job.Borrowed)
         continue;
       JobEdit Edit(State, Job);
@@ -50,6 +62,10 @@
 
 } // namespace
 
+bool mayUseHome(const GangShape &Shape, const GangShape &Of) {
+  return Shape.accelerators() * 2 >= Of.accelerators();
+}
+
 bool fitsHome(const CellIndex &Index, const JobSpec &Spec,
               std::span<const Placement> Placements) {
   const WorkspaceIndex *Workspace = findWorkspace(Index, Spec.Workspace);
--- a/src/pistachioflow/policy/home_use.hpp
+++ b/src/pistachioflow/policy/home_use.hpp
@@ -8,6 +8,11 @@
 
 namespace pistachioflow::policy {
 
+/// Tells whether gangs of shape \p Shape may use homes of shape \p Of: they do
+/// not leave more than half of one idle. Smaller ones would keep the workspace
+/// from the gangs that it was promised, and so they borrow.
+bool mayUseHome(const GangShape &Shape, const GangShape &Of);
+
 /// Tells whether the workspace's homes have room for the gang at \p Placements.
 bool fitsHome(const CellIndex &Index, const JobSpec &Spec,
               std::span<const Placement> Placements);
