Keep reserved workers from moved homes, and search less

Cause: a home that moved to free workers took those that a reservation had been keeping, and a small job could hold the only reservation for ever; one step searched every worker for every workspace. Change: reservations are kept before guarantees are placed, are looked at again in place, and give way to much more urgent jobs; a shape without room is not searched again for the next workspace; forbidden jobs are indexed.

--- a/include/pistachioflow/policy/amount.hpp
+++ b/include/pistachioflow/policy/amount.hpp
@@ -73,6 +73,8 @@
 /// Returns how many tasks of \p Task fit into \p Free, at most \p Limit.
 inline std::int64_t tasksThatFit(const Amount &Free, const Amount &Task,
                                  std::int64_t Limit) {
+  if (!covers(Free, Task))
+    return 0;
   std::int64_t Fit = Limit;
   if (Task.Accelerators > 0)
     Fit = std::min(Fit, Free.Accelerators / Task.Accelerators);
--- a/src/pistachioflow/policy/admission.cpp
+++ b/src/pistachioflow/policy/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include "pistachioflow/policy/list_rules.hpp"
 #include "pistachioflow/policy/placement.hpp"
 #include "pistachioflow/policy/reasons.hpp"
 
@@ -63,14 +64,9 @@
 ReasonCode whyForbidden(const CellIndex &Index, const JobSpec &Spec,
                         WorkCount &Work) {
   const WorkspaceIndex *Workspace = findWorkspace(Index, Spec.Workspace);
-  if (!Workspace || !Workspace->Plan)
-    return ReasonCode::RefusedNoPlan;
-  if (!Workspace->Limits)
-    return ReasonCode::RefusedNoLimits;
-  if (Spec.Urgent && !Workspace->Limits->AllowsUrgent)
-    return ReasonCode::RefusedUrgentNotAllowed;
-  if (Spec.Shape.accelerators() > Workspace->Limits->CeilingAccelerators)
-    return ReasonCode::RefusedAboveCeiling;
+  const ReasonCode Code = whyListsForbid(Workspace, Spec);
+  if (Code != ReasonCode::None)
+    return Code;
   if (!fitsSomewhere(Index, Spec.Shape, Work))
     return ReasonCode::RefusedFitsNowhere;
   return ReasonCode::None;
--- a/src/pistachioflow/policy/cell_index.cpp
+++ b/src/pistachioflow/policy/cell_index.cpp
@@ -5,6 +5,7 @@
 #include "pistachioflow/policy/capacity.hpp"
 #include "pistachioflow/policy/cell.hpp"
 #include "pistachioflow/policy/fault_limits.hpp"
+#include "pistachioflow/policy/list_rules.hpp"
 #include "pistachioflow/policy/queue_order.hpp"
 
 namespace pistachioflow::policy {
@@ -56,13 +57,16 @@
 }
 
 /// Tells whether a stop or an end of the job has to be decided.
-bool needsAttention(const JobState &Job) {
+bool needsAttention(const CellIndex &Index, const JobState &Job) {
   if (hasEnded(Job) || Job.Phase == JobPhase::Stopping)
     return false;
   if (Job.CancelRequested || Job.StopWanted != ReasonCode::None)
     return true;
   if (Job.Phase == JobPhase::Queued)
-    return canNeverRun(Job);
+    return canNeverRun(Job) ||
+           (Job.Admitted &&
+            whyListsForbid(findWorkspace(Index, Job.Spec.Workspace),
+                           Job.Spec) != ReasonCode::None);
   return Job.Reclaim.CheckpointTaken || !Job.OverusedOn.empty();
 }
 
@@ -140,7 +144,7 @@
 }
 
 void indexJob(CellIndex &Index, const JobState &Job) {
-  if (needsAttention(Job))
+  if (needsAttention(Index, Job))
     Index.Attention.insert(Job.Spec.Job);
   if (Job.Phase == JobPhase::Queued)
     indexQueued(Index, Job);
--- a/src/pistachioflow/policy/decide.cpp
+++ b/src/pistachioflow/policy/decide.cpp
@@ -26,6 +26,7 @@
   decideAdmissions(Draft);
   if (decideHomes(Draft))
     return std::move(Draft.Made);
+  keepReserved(Draft);
   decideGuaranteed(Draft);
   decideUrgent(Draft);
   decideReserved(Draft);
--- a/src/pistachioflow/policy/expected_start.cpp
+++ b/src/pistachioflow/policy/expected_start.cpp
@@ -20,6 +20,9 @@
     60 * MinuteMs,   120 * MinuteMs,    240 * MinuteMs, 720 * MinuteMs,
     1440 * MinuteMs, 100'000 * MinuteMs};
 
+/// Idle homes are left out where the job starts at most this much later.
+constexpr Duration HomesAvoidedFor{5 * MinuteMs};
+
 constexpr std::size_t MaxRacksSearched = 64;
 
 /// Room that opens on a slot at a time.
@@ -121,11 +124,12 @@
 
 std::optional<ExpectedStart> findExpectedStart(Plan &Draft,
                                                const JobState &Job) {
-  for (const bool WithHomes : {false, true})
-    if (auto Found =
-            searchOutlook(Draft, Job, outlookOf(Draft, Job, WithHomes)))
-      return Found;
-  return std::nullopt;
+  auto Outside = searchOutlook(Draft, Job, outlookOf(Draft, Job, false));
+  auto Anywhere = searchOutlook(Draft, Job, outlookOf(Draft, Job, true));
+  if (!Outside || !Anywhere)
+    return Anywhere;
+  return Anywhere->Start + HomesAvoidedFor < Outside->Start ? Anywhere
+                                                            : Outside;
 }
 
 } // namespace pistachioflow::policy
--- a/src/pistachioflow/policy/expected_start.hpp
+++ b/src/pistachioflow/policy/expected_start.hpp
@@ -12,8 +12,9 @@
 };
 
 /// Finds the workers that are expected to have room for the job first, as the
-/// gangs on them end. Idle homes are used only where nothing else will do. In
-/// a large cell only the domains with most free accelerators are searched.
+/// gangs on them end. Idle homes are used only where the job starts much sooner
+/// there. In a large cell only the domains with most free accelerators are
+/// searched.
 std::optional<ExpectedStart> findExpectedStart(Plan &Draft,
                                                const JobState &Job);
 
--- a/src/pistachioflow/policy/fold_action.cpp
+++ b/src/pistachioflow/policy/fold_action.cpp
@@ -137,12 +137,17 @@
   const JobState *Job = findJob(State, What.Job);
   if (!Job || Job->Phase != JobPhase::Queued)
     return false;
-  std::erase_if(State.Reservations, [&What](const Reservation &Held) {
-    return Held.Job == What.Job;
-  });
-  if (!What.Placements.empty())
+  const auto Held =
+      std::ranges::find(State.Reservations, What.Job, &Reservation::Job);
+  if (What.Placements.empty() && Held == State.Reservations.end())
+    return false;
+  if (What.Placements.empty())
+    State.Reservations.erase(Held);
+  else if (Held == State.Reservations.end())
     State.Reservations.push_back(
         {What.Job, What.Placements, What.ExpectedStart, At});
+  else
+    *Held = {What.Job, What.Placements, What.ExpectedStart, Held->MadeAt};
   return true;
 }
 
--- a/src/pistachioflow/policy/guaranteed.cpp
+++ b/src/pistachioflow/policy/guaranteed.cpp
@@ -35,6 +35,15 @@
   return Room;
 }
 
+/// Tells whether the workspace's homes can have room, without a search.
+bool mayFitHomes(Plan &Draft, const JobState &Job) {
+  const GangShape &Shape = Job.Spec.Shape;
+  std::int64_t Fit = 0;
+  for (const HomePart &Part : Draft.use(Job.Spec.Workspace).Parts)
+    Fit += tasksThatFit(Part.Total - Part.Used, perTask(Shape), Shape.Tasks);
+  return Fit >= Shape.Tasks;
+}
+
 Rooms onlyFree(const Plan &Draft, Rooms Room) {
   for (SlotIndex Slot = 0; Slot < Room.size(); ++Slot)
     if (Room[Slot] != Amount{})
@@ -132,6 +141,8 @@
 enum class Outcome { Taken, NoRoom };
 
 Outcome takeHome(Plan &Draft, const JobState &Job) {
+  if (!mayFitHomes(Draft, Job))
+    return Outcome::NoRoom;
   const Rooms Idle = roomInHomes(Draft, Job);
   const bool Under = Draft.underCeiling(Job);
   if (Under) {
--- a/src/pistachioflow/policy/placement.cpp
+++ b/src/pistachioflow/policy/placement.cpp
@@ -19,13 +19,13 @@
   Best(const PlacementCost &Cost, std::uint64_t &Looked)
       : Cost(Cost), Looked(Looked) {}
 
-  void offer(Shares Placement) {
+  void offer(std::span<const SlotShare> Placement) {
     ++this->Looked;
     const std::int64_t Price = this->Cost(Placement);
     if (this->Found && Price >= this->Lowest)
       return;
     this->Lowest = Price;
-    this->Found = std::move(Placement);
+    this->Found.emplace(Placement.begin(), Placement.end());
   }
 
   std::optional<Shares> take() { return std::move(this->Found); }
@@ -141,9 +141,11 @@
 
 void searchWorkers(const PlacementSearch &Search, Best &Found) {
   const auto Tasks = Search.Shape.Tasks;
-  for (SlotIndex Slot = 0; Slot < Search.Cap.Slots.size(); ++Slot)
+  for (SlotIndex Slot = 0; Slot < Search.Cap.Slots.size(); ++Slot) {
+    const SlotShare Whole{Slot, Tasks};
     if (fitOn(Search, Slot) >= Tasks)
-      Found.offer({{Slot, Tasks}});
+      Found.offer({&Whole, 1});
+  }
 }
 
 /// Weighs every run of \p Length racks with successive positions.
--- a/src/pistachioflow/policy/reservation.cpp
+++ b/src/pistachioflow/policy/reservation.cpp
@@ -12,9 +12,16 @@
 
 namespace {
 
-constexpr std::size_t WorkersPerReservation = 64;
+constexpr std::size_t WorkersPerReservation = 16;
+
+/// Gangs of at least this size are alike in the order of reservations.
+constexpr std::int64_t LargeAccelerators = 16;
+
 constexpr Duration ShortestReservation{60'000};
 
+/// A reservation whose time has passed is looked at again after this long.
+constexpr Duration SoonestReview{5'000};
+
 Reason reservedReason(const Plan &Draft, const JobState &Job, ReasonCode Code,
                       Instant ExpectedStart, std::string PassedOver) {
   return reasonFor(Draft.State, Job.Spec.Workspace, Code,
@@ -60,30 +67,51 @@
   return true;
 }
 
-void keep(Plan &Draft, const Reservation &Held, const JobState &Job,
-          Shares At) {
+void keep(Plan &Draft, Instant ExpectedStart, const JobState &Job, Shares At) {
   Draft.Kept.push_back(
-      {Held.Job, Held.ExpectedStart, Job.Spec.Shape, std::move(At)});
+      {Job.Spec.Job, ExpectedStart, Job.Spec.Shape, std::move(At)});
+}
+
+void unkeep(Plan &Draft, const JobId &Job) {
+  std::erase_if(Draft.Kept,
+                [&Job](const KeptShare &Kept) { return Kept.For == Job; });
+}
+
+/// Looks again where the job can start first, once its time has passed.
+void reserveAgain(Plan &Draft, const Reservation &Held, const JobState &Job) {
+  const auto Found = findExpectedStart(Draft, Job);
+  if (!Found)
+    return endReservation(Draft, Held, Job);
+  const Instant Start = std::max(Found->Start, Draft.Now + SoonestReview);
+  Draft.decide(ReserveFor{Held.Job, Draft.placements(Found->At), Start},
+               reservedReason(Draft, Job, ReasonCode::ReservedForLargeJob,
+                              Start, "end the reservation"));
+  keep(Draft, Start, Job, Found->At);
 }
 
 void follow(Plan &Draft, const Reservation &Held) {
   const JobState &Job = Draft.job(Held.Job);
   if (Draft.Touched.contains(Held.Job))
-    return;
-  auto At = Draft.shares(Held.Placements);
-  if (!At || !Draft.underCeiling(Job))
+    return unkeep(Draft, Held.Job);
+  const auto At = Draft.shares(Held.Placements);
+  if (!At || !Draft.underCeiling(Job)) {
+    unkeep(Draft, Held.Job);
     return endReservation(Draft, Held, Job);
+  }
   if (startReserved(Draft, Held, Job))
-    return;
+    return unkeep(Draft, Held.Job);
   const Instant Latest =
       std::min(Held.ExpectedStart, Held.MadeAt + MaxReservedWait);
   const bool Due =
       Draft.Now >= Latest && Draft.Now - Held.MadeAt >= ShortestReservation;
   if (Due && reclaimReserved(Draft, Job, *At))
+    return unkeep(Draft, Held.Job);
+  if (!Due || Draft.Now < Held.ExpectedStart)
     return;
-  if (Due)
+  unkeep(Draft, Held.Job);
+  if (Draft.Now >= Held.MadeAt + MaxReservedWait)
     return endReservation(Draft, Held, Job);
-  keep(Draft, Held, Job, std::move(*At));
+  reserveAgain(Draft, Held, Job);
 }
 
 bool isReserved(const Plan &Draft, const JobId &Name) {
@@ -93,7 +121,7 @@
 
 std::int64_t urgencyOf(const Plan &Draft, const JobState &Job) {
   const Duration Waited = Draft.Now - Job.QueuedAt;
-  return (Waited.Ms + 1) * acceleratorsOf(Job);
+  return (Waited.Ms + 1) * std::min(acceleratorsOf(Job), LargeAccelerators);
 }
 
 /// Returns the blocked job that has waited longest for most, or null.
@@ -113,8 +141,29 @@
   return Chosen;
 }
 
+/// Ends the least urgent reservation where \p Job is much more urgent.
+void makeWay(Plan &Draft, const JobState &Job) {
+  const Reservation *Least = nullptr;
+  for (const Reservation &Held : Draft.State.Reservations)
+    if (!Draft.Touched.contains(Held.Job) &&
+        (!Least || urgencyOf(Draft, Draft.job(Held.Job)) <
+                       urgencyOf(Draft, Draft.job(Least->Job))))
+      Least = &Held;
+  if (!Least)
+    return;
+  const JobState &Holder = Draft.job(Least->Job);
+  if (urgencyOf(Draft, Job) > 2 * urgencyOf(Draft, Holder))
+    endReservation(Draft, *Least, Holder);
+}
+
 } // namespace
 
+void keepReserved(Plan &Draft) {
+  for (const Reservation &Held : Draft.State.Reservations)
+    if (auto At = Draft.shares(Held.Placements))
+      keep(Draft, Held.ExpectedStart, Draft.job(Held.Job), std::move(*At));
+}
+
 void decideReserved(Plan &Draft) {
   for (const Reservation &Held : Draft.State.Reservations)
     follow(Draft, Held);
@@ -122,11 +171,11 @@
 
 void decideReservations(Plan &Draft) {
   const std::size_t Most = 1 + Draft.Cap.Slots.size() / WorkersPerReservation;
-  if (Draft.State.Reservations.size() >= Most)
-    return;
   const JobState *Job = mostBlocked(Draft);
   if (!Job)
     return;
+  if (Draft.State.Reservations.size() >= Most)
+    return makeWay(Draft, *Job);
   const auto Found = findExpectedStart(Draft, *Job);
   if (!Found)
     return;
--- a/src/pistachioflow/policy/reservation.hpp
+++ b/src/pistachioflow/policy/reservation.hpp
@@ -8,9 +8,11 @@
 /// borrowers on them are reclaimed.
 constexpr Duration MaxReservedWait{60 * 60 * 1'000};
 
-/// Starts the jobs whose reserved workers, or others, are free; keeps the
-/// workers of the other reservations for them, and ends those that have become
-/// void.
+/// Keeps the workers of every reservation for its job.
+void keepReserved(Plan &Draft);
+
+/// Starts the jobs whose reserved workers, or others, are free; looks again
+/// where a reservation's time has passed, and ends those that are void.
 void decideReserved(Plan &Draft);
 
 /// Reserves workers for the blocked jobs that have waited longest for most
--- a/src/pistachioflow/policy/revisions.cpp
+++ b/src/pistachioflow/policy/revisions.cpp
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include "pistachioflow/policy/capacity.hpp"
-#include "pistachioflow/policy/queue_cursor.hpp"
 #include "pistachioflow/policy/reasons.hpp"
 #include "pistachioflow/policy/reclaim.hpp"
 
@@ -62,50 +61,16 @@
   }
 }
 
-/// Returns why the lists forbid a job that they once admitted, or None.
-ReasonCode whyEnded(const WorkspaceIndex &Workspace, const JobSpec &Spec) {
-  if (!Workspace.Plan)
-    return ReasonCode::RefusedNoPlan;
-  if (!Workspace.Limits)
-    return ReasonCode::RefusedNoLimits;
-  if (Spec.Urgent && !Workspace.Limits->AllowsUrgent)
-    return ReasonCode::RefusedUrgentNotAllowed;
-  if (Spec.Shape.accelerators() > Workspace.Limits->CeilingAccelerators)
-    return ReasonCode::RefusedAboveCeiling;
-  return ReasonCode::None;
-}
-
-/// All jobs of one shape are ruled alike, so one look at each shape is enough.
-void endForbidden(Plan &Draft, const WorkspaceIndex &Workspace,
-                  const std::map<ShapeKey, JobQueue> &Queues) {
-  QueueCursor Queue(Draft, Queues);
-  while (const JobState *Job = Queue.next()) {
-    const ReasonCode Code = whyEnded(Workspace, Job->Spec);
-    ++Draft.Work.JobsLookedAt;
-    if (Code == ReasonCode::None) {
-      Queue.skipShape();
-      continue;
-    }
-    Draft.decide(EndJob{Job->Spec.Job, JobPhase::Refused},
-                 listsReason(Draft, *Job, Code, Workspace));
-    Draft.Touched.insert(Job->Spec.Job);
-  }
-}
-
 } // namespace
 
 void decideRevisions(Plan &Draft) {
   const Lists &Now = Draft.State.Configuration;
   if (Now.Plans.At == 0 || Now.Limits.At == 0)
     return;
-  for (const auto &[Name, Workspace] : Draft.Index.Workspaces) {
-    const WorkspaceUse &Use = Draft.use(Name);
-    if (Use.Used - Use.Leaving > ceilingOf(Workspace) ||
+  for (const auto &[Name, Workspace] : Draft.Index.Workspaces)
+    if (Workspace.Used - Workspace.Leaving > ceilingOf(Workspace) ||
         (!Workspace.Limits && !Workspace.Active.empty()))
       stopExcess(Draft, Name, Workspace);
-    endForbidden(Draft, Workspace, Workspace.Queues);
-    endForbidden(Draft, Workspace, Workspace.UrgentQueues);
-  }
 }
 
 } // namespace pistachioflow::policy
--- a/src/pistachioflow/policy/revisions.hpp
+++ b/src/pistachioflow/policy/revisions.hpp
@@ -5,7 +5,7 @@
 namespace pistachioflow::policy {
 
 /// Brings the cell under the lists in force: stops gangs above a ceiling or
-/// without a plan, and ends queued jobs that the lists now forbid.
+/// without a plan.
 void decideRevisions(Plan &Draft);
 
 } // namespace pistachioflow::policy
--- a/src/pistachioflow/policy/sharing.cpp
+++ b/src/pistachioflow/policy/sharing.cpp
@@ -1,7 +1,7 @@
 #include "pistachioflow/policy/sharing.hpp"
 
 #include <algorithm>
-#include <optional>
+#include <set>
 #include <vector>
 
 #include "pistachioflow/policy/queue_cursor.hpp"
@@ -20,32 +20,25 @@
 struct Sharer {
   const WorkspaceId *Name = nullptr;
   std::int64_t Weight = 1;
+  std::int64_t Borrowed = 0;
   QueueCursor Queue;
 };
 
-std::vector<Sharer> sharersOf(const Plan &Draft) {
+std::vector<Sharer> sharersOf(Plan &Draft) {
   std::vector<Sharer> Sharers;
   for (const auto &[Name, Workspace] : Draft.Index.Workspaces) {
     if (!Workspace.Limits || Workspace.Queues.empty())
       continue;
     const std::int64_t Weight = std::max(Workspace.Limits->Weight, 1U);
-    Sharers.push_back({&Name, Weight, QueueCursor(Draft, Workspace.Queues)});
+    Sharers.push_back({&Name, Weight, Draft.use(Name).Borrowed,
+                       QueueCursor(Draft, Workspace.Queues)});
   }
   return Sharers;
 }
 
 /// Tells whether \p Left borrows less for its weight than \p Right.
-bool borrowsLess(Plan &Draft, const Sharer &Left, const Sharer &Right) {
-  return Draft.use(*Left.Name).Borrowed * Right.Weight <
-         Draft.use(*Right.Name).Borrowed * Left.Weight;
-}
-
-std::size_t nextSharer(Plan &Draft, const std::vector<Sharer> &Sharers) {
-  std::size_t Chosen = 0;
-  for (std::size_t At = 1; At < Sharers.size(); ++At)
-    if (borrowsLess(Draft, Sharers[At], Sharers[Chosen]))
-      Chosen = At;
-  return Chosen;
+bool borrowsLess(const Sharer &Left, const Sharer &Right) {
+  return Left.Borrowed * Right.Weight < Right.Borrowed * Left.Weight;
 }
 
 Reason borrowReason(Plan &Draft, const JobState &Job, ReasonCode Code) {
@@ -58,11 +51,11 @@
                    "keep it queued");
 }
 
-enum class Outcome { Started, NoRoom, NoRoomForShape };
+enum class Outcome { Started, AboveCeiling, NoRoom, NoRoomForShape };
 
 Outcome startBorrowing(Plan &Draft, const JobState &Job) {
   if (!Draft.underCeiling(Job))
-    return Outcome::NoRoomForShape;
+    return Outcome::AboveCeiling;
   const GangShape &Shape = Job.Spec.Shape;
   if (const auto At = placeTightly(Draft, Shape, roomToBorrow(Draft, Job))) {
     Draft.start(Job, *At, true,
@@ -85,21 +78,32 @@
 
 void decideShared(Plan &Draft) {
   std::vector<Sharer> Sharers = sharersOf(Draft);
+  std::set<ShapeKey> Full; // Shapes that no worker has room for.
   std::size_t Misses = 0;
   while (!Sharers.empty() && Misses < MaxMisses) {
-    const std::size_t Chosen = nextSharer(Draft, Sharers);
-    Sharer &Next = Sharers[Chosen];
+    const auto Chosen = std::ranges::min_element(Sharers, borrowsLess);
+    Sharer &Next = *Chosen;
     const JobState *Job = Next.Queue.next();
     if (!Job) {
-      Sharers.erase(Sharers.begin() + static_cast<std::ptrdiff_t>(Chosen));
+      Sharers.erase(Chosen);
+      continue;
+    }
+    const ShapeKey Shape = keyOf(Job->Spec.Shape);
+    const bool FailedBefore = !Job->FailedOn.empty();
+    if (!FailedBefore && Full.contains(Shape)) {
+      Next.Queue.skipShape();
       continue;
     }
     ++Draft.Work.JobsLookedAt;
     const Outcome Became = startBorrowing(Draft, *Job);
-    if (Became == Outcome::NoRoomForShape && Job->FailedOn.empty())
+    Next.Borrowed = Draft.use(*Next.Name).Borrowed;
+    if (Became == Outcome::AboveCeiling ||
+        (Became == Outcome::NoRoomForShape && !FailedBefore))
       Next.Queue.skipShape();
     else if (Became != Outcome::Started)
       ++Misses;
+    if (Became == Outcome::NoRoomForShape && !FailedBefore)
+      Full.insert(Shape);
   }
 }
 
--- a/src/pistachioflow/policy/stops.cpp
+++ b/src/pistachioflow/policy/stops.cpp
@@ -1,5 +1,7 @@
 #include "pistachioflow/policy/stops.hpp"
 
+#include "pistachioflow/policy/fault_limits.hpp"
+#include "pistachioflow/policy/list_rules.hpp"
 #include "pistachioflow/policy/reasons.hpp"
 
 namespace pistachioflow::policy {
@@ -26,11 +28,27 @@
   Draft.Touched.insert(Job.Spec.Job);
 }
 
+/// Returns why the queued job has to end.
+ReasonCode whyEnded(const Plan &Draft, const JobState &Job) {
+  if (Job.CancelRequested)
+    return ReasonCode::CancelledByCaller;
+  if (canNeverRun(Job))
+    return ReasonCode::FailedOnManyWorkers;
+  return whyListsForbid(findWorkspace(Draft.Index, Job.Spec.Workspace),
+                        Job.Spec);
+}
+
+JobPhase finalPhase(ReasonCode Code) {
+  if (Code == ReasonCode::CancelledByCaller)
+    return JobPhase::Cancelled;
+  if (Code == ReasonCode::FailedOnManyWorkers)
+    return JobPhase::Failed;
+  return JobPhase::Refused;
+}
+
 void endQueued(Plan &Draft, const JobState &Job) {
-  const bool Cancelled = Job.CancelRequested;
-  const JobPhase Final = Cancelled ? JobPhase::Cancelled : JobPhase::Failed;
-  const ReasonCode Code = Cancelled ? ReasonCode::CancelledByCaller
-                                    : ReasonCode::FailedOnManyWorkers;
+  const ReasonCode Code = whyEnded(Draft, Job);
+  const JobPhase Final = finalPhase(Code);
   Draft.decide(EndJob{Job.Spec.Job, Final},
                reasonFor(Draft.State, Job.Spec.Workspace, Code,
                          {{Measure::Attempts, Job.Try},
@@ -39,7 +57,7 @@
                           {Measure::Failures,
                            static_cast<std::int64_t>(Job.FailedOn.size()) +
                                static_cast<std::int64_t>(Job.Refusals)}},
-                         "try it on another worker"));
+                         "keep it queued"));
   Draft.Touched.insert(Job.Spec.Job);
 }
 
