--- a/include/pistachioflow/filter/dispatch.hpp
+++ b/include/pistachioflow/filter/dispatch.hpp
@@ -71,8 +71,9 @@
   /// Takes over the platform's list. A runner that left it gets nothing new.
   void setRunners(std::span<const RunnerInfo> Listed);
 
-  /// Takes over what all peers together have in flight.
-  void setPeerLoads(std::span<const RunnerInFlight> Loads);
+  /// Takes over what all peers together have in flight. The same loads again
+  /// count as not renewed.
+  void setPeerLoads(std::vector<RunnerInFlight> Loads, Instant Now);
 
   /// Precondition: \p Count is at least 1.
   void setInstances(std::uint32_t Count) { this->Instances = Count; }
@@ -108,7 +109,7 @@
 private:
   struct Capacity {
     std::uint32_t Slots = 0;
-    std::uint32_t Free = 0;
+    double Free = 0;
   };
 
   Capacity capacity() const;
@@ -124,6 +125,8 @@
   std::unordered_map<RunnerId, std::size_t> IndexOf;
   std::array<double, RequestClasses> UsualMs{};
   double UsualOfAllMs = 0;
+  std::vector<RunnerInFlight> PeerLoads;
+  Instant PeersRenewedAt;
   std::uint32_t OwnTotal = 0;
   std::uint32_t Instances = 1;
 };
--- a/include/pistachioflow/model/request.hpp
+++ b/include/pistachioflow/model/request.hpp
@@ -57,6 +57,7 @@
   RunnerId Runner;
   std::uint32_t Count = 0;
 
+  bool operator==(const RunnerInFlight &) const = default;
   MSGPACK_DEFINE(Runner, Count)
 };
 
--- a/src/pistachioflow/filter/dispatch.cpp
+++ b/src/pistachioflow/filter/dispatch.cpp
@@ -45,13 +45,17 @@
     this->IndexOf[this->Runners[Index].Info.Runner] = Index;
 }
 
-void Dispatch::setPeerLoads(std::span<const RunnerInFlight> Loads) {
+void Dispatch::setPeerLoads(std::vector<RunnerInFlight> Loads, Instant Now) {
+  if (Loads == this->PeerLoads)
+    return;
+  this->PeerLoads = std::move(Loads);
+  this->PeersRenewedAt = Now;
   for (RunnerState &Each : this->Runners)
-    Each.Peers = 0;
-  for (const RunnerInFlight &Load : Loads) {
+    Each.Gossiped = 0;
+  for (const RunnerInFlight &Load : this->PeerLoads) {
     const auto Found = this->IndexOf.find(Load.Runner);
     if (Found != this->IndexOf.end())
-      this->Runners[Found->second].Peers += Load.Count;
+      this->Runners[Found->second].Gossiped += Load.Count;
   }
 }
 
@@ -143,8 +147,8 @@
     if (!Each.Listed || Each.Info.Leaving ||
         Each.Health != RunnerHealth::Healthy)
       continue;
-    Sum.Slots += Each.Info.Slots;
-    Sum.Free += Each.Info.Slots - std::min(Each.Info.Slots, Each.load());
+    Sum.Slots += Each.places();
+    Sum.Free += std::max(0.0, Each.places() - Each.load());
   }
   return Sum;
 }
@@ -159,6 +163,8 @@
     this->UsualMs[indexOf(Hopeless->Class)] *= DecayOnRefusal;
     Result.Refusals.push_back({Hopeless->Ticket});
   }
+  setBacklogs(this->Runners, Now, this->Settings.Routing);
+  estimatePeers(this->Runners, Now - this->PeersRenewedAt, this->UsualOfAllMs);
   while (const WaitingRequest *Due = this->Queue.peek()) {
     const auto Index = this->pickFor(*Due, Now);
     if (!Index)
--- a/src/pistachioflow/filter/dispatcher.cpp
+++ b/src/pistachioflow/filter/dispatcher.cpp
@@ -115,7 +115,7 @@
   if (!this->PeerLoads || Now - this->PeersTakenAt < PeerLoadsEvery)
     return;
   this->PeersTakenAt = Now;
-  this->Core.setPeerLoads(this->PeerLoads());
+  this->Core.setPeerLoads(this->PeerLoads(), Now);
 }
 
 void Dispatcher::report(const DispatchResult &Result) {
--- a/src/pistachioflow/filter/routing.cpp
+++ b/src/pistachioflow/filter/routing.cpp
@@ -1,6 +1,7 @@
 #include "pistachioflow/filter/routing.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace pistachioflow {
@@ -9,11 +10,17 @@
 
 constexpr double SlownessWeight = 0.25;
 constexpr std::uint32_t MostDoublings = 8;
+/// An estimate may be above a whole number by this part of a slot.
+constexpr double FullTolerance = 0.5;
+constexpr double ShortestUsualMs = 20;
+/// Every instance acts on the same counts, so a runner's load turns over
+/// several times in the usual time of one request.
+constexpr double TurnoverPerUsual = 4;
 
 using Candidates = std::vector<std::size_t>;
 
 bool isFull(const RunnerState &Runner) {
-  return Runner.load() >= Runner.Info.Slots;
+  return Runner.load() + 1 > Runner.places() + FullTolerance;
 }
 
 bool isStalled(const RunnerState &Runner, const RouteQuery &Query,
@@ -25,26 +32,22 @@
 }
 
 double usedShare(const RunnerState &Runner) {
-  return static_cast<double>(Runner.load()) /
-         static_cast<double>(std::max(Runner.Info.Slots, 1U));
-}
-
-/// Returns the less loaded of two random candidates. Precondition: not empty.
-std::size_t twoChoices(std::span<const RunnerState> Runners,
-                       const Candidates &From, std::mt19937_64 &Random) {
-  std::uniform_int_distribution<std::size_t> Any(0, From.size() - 1);
-  const std::size_t First = From[Any(Random)];
-  const std::size_t Second = From[Any(Random)];
-  return usedShare(Runners[Second]) < usedShare(Runners[First]) ? Second
-                                                                : First;
+  return Runner.load() / static_cast<double>(std::max(Runner.Info.Slots, 1U));
 }
 
+/// Returns the least loaded candidate, of equals a random one. Precondition:
+/// not empty.
 std::size_t leastLoaded(std::span<const RunnerState> Runners,
-                        const Candidates &From) {
-  return *std::min_element(
-      From.begin(), From.end(), [Runners](std::size_t Left, std::size_t Right) {
-        return usedShare(Runners[Left]) < usedShare(Runners[Right]);
-      });
+                        const Candidates &From, std::mt19937_64 &Random) {
+  std::uniform_int_distribution<std::size_t> Any(0, From.size() - 1);
+  const std::size_t Start = Any(Random);
+  std::size_t Best = From[Start];
+  for (std::size_t Step = 1; Step < From.size(); ++Step) {
+    const std::size_t Other = From[(Start + Step) % From.size()];
+    if (usedShare(Runners[Other]) < usedShare(Runners[Best]))
+      Best = Other;
+  }
+  return Best;
 }
 
 /// Returns a candidate on probation that waits for its probe, if any.
@@ -110,8 +113,10 @@
     return false;
   if (Runner.Health != RunnerHealth::Healthy)
     return Query.MayProbe && onProbation(Runner, Query.Now) && Runner.Own == 0;
+  if (Query.Now < Runner.RefusedUntil)
+    return false;
   if (Query.EvenIfFull)
-    return Runner.Own < Runner.Info.Slots;
+    return Runner.Own < Runner.places();
   return !isFull(Runner);
 }
 
@@ -138,19 +143,41 @@
     if (const auto Probe = probeOf(Runners, Any, Query.Now))
       return Probe;
   if (Any.empty())
-    return Stalled.empty() ? std::nullopt
-                           : std::optional(leastLoaded(Runners, Stalled));
+    return Stalled.empty()
+               ? std::nullopt
+               : std::optional(leastLoaded(Runners, Stalled, Random));
   if (Query.EvenIfFull)
-    return leastLoaded(Runners, Any);
-  const std::size_t Far = twoChoices(Runners, Any, Random);
+    return leastLoaded(Runners, Any, Random);
+  const std::size_t Far = leastLoaded(Runners, Any, Random);
   if (Near.empty())
     return Far;
-  const std::size_t Close = twoChoices(Runners, Near, Random);
+  const std::size_t Close = leastLoaded(Runners, Near, Random);
   const bool Waits =
       Runners[Close].load() > Runners[Far].load() + Settings.LocalBias;
   return Waits ? Far : Close;
 }
 
+void setBacklogs(std::span<RunnerState> Runners, Instant Now,
+                 const RoutingSettings &Settings) {
+  for (RunnerState &Each : Runners)
+    Each.Backlog = Now < Each.NoBacklogUntil ? 0 : Settings.Backlog;
+}
+
+void estimatePeers(std::span<RunnerState> Runners, Duration Age,
+                   double UsualMs) {
+  if (Runners.empty())
+    return;
+  double Sum = 0;
+  for (const RunnerState &Each : Runners)
+    Sum += Each.Gossiped;
+  const double Mean = Sum / static_cast<double>(Runners.size());
+  const double Weight =
+      std::exp(-static_cast<double>(Age.Ms) * TurnoverPerUsual /
+               std::max(UsualMs, ShortestUsualMs));
+  for (RunnerState &Each : Runners)
+    Each.Peers = Mean + Weight * (Each.Gossiped - Mean);
+}
+
 void noteSent(RunnerState &Runner, Instant Now) {
   if (Runner.Own == 0)
     Runner.ProgressAt = Now;
@@ -164,7 +191,10 @@
   --Runner.Own;
   if (Result.State == SendState::RefusedBusy) {
     const std::uint32_t Slots = Runner.Info.Slots;
-    Runner.Peers = std::max(Runner.Peers, Slots - std::min(Slots, Runner.Own));
+    Runner.RefusedUntil = Result.Now + Settings.AfterRefusal;
+    Runner.NoBacklogUntil = Result.Now + Settings.NoBacklogAfterRefusal;
+    Runner.Gossiped =
+        std::max(Runner.Gossiped, Slots - std::min(Slots, Runner.Own));
     return HealthChange::None;
   }
   const bool Answered = Result.State == SendState::Answered;
