--- a/include/pistachioflow/controller/config.hpp
+++ b/include/pistachioflow/controller/config.hpp
@@ -62,8 +62,9 @@
   /// Appends an edit and returns the new revision once it is read back. An edit
   /// repeated under the same \p EditId counts once; an empty one gets a new id.
   /// Errors: StaleRevision (with both revisions and who won), InvalidInput,
-  /// Refused (by the check), Unavailable (surely not appended), UnknownOutcome
-  /// (repeat it under the same id).
+  /// Refused (by the check), Unavailable (this call surely appended nothing; an
+  /// earlier one under the same id may have), UnknownOutcome (repeat it under
+  /// the same id).
   Result<Revision> editPlans(const PlansEdited &Edit, const RecordId &EditId);
   Result<Revision> editLimits(const LimitsEdited &Edit, const RecordId &EditId);
 
--- a/src/pistachioflow/controller/ownership_test.cpp
+++ b/src/pistachioflow/controller/ownership_test.cpp
@@ -211,6 +211,21 @@
   CHECK(mayRelease(View, B, Lease, {8'100}));
 }
 
+TEST_CASE("claiming its own stream again shortens no wait for others") {
+  LeaseView View = viewOfOther();
+  const Record Own = claim("c2", B, 2);
+  noteSending(View, Own, {5'000});
+  noteRecord(View, renewal("r9", A, 1), Lease, {9'000});
+  REQUIRE(noteRecord(View, Own, Lease, {9'000}));
+  noteReadEnd(View, {9'000});
+  REQUIRE(nextLeaseStep(View, B, B, Lease, {9'000}) == LeaseStep::Claim);
+  REQUIRE(sendAndRead(View, claim("c3", B, 3), {9'100}, {9'110}));
+  CHECK_FALSE(mayAct(View, B, Lease, {9'110}));
+  REQUIRE(sendAndRead(View, renewal("r10", B, 3), {11'000}, {11'010}));
+  CHECK_FALSE(mayAct(View, B, Lease, {11'999}));
+  CHECK(mayAct(View, B, Lease, {12'000}));
+}
+
 TEST_CASE("a claim that lost the race owns nothing") {
   LeaseView View = viewOfOther();
   const Record Own = claim("c2b", B, 2);
