--- a/include/pistachioflow/model/reason.hpp
+++ b/include/pistachioflow/model/reason.hpp
@@ -30,6 +30,8 @@
   PlacedUrgent = 203,
   ReservedForLargeJob = 204,
   MovedToJoinFragments = 205,
+  PlacedReserved = 206,
+  ReservationEnded = 207,
   // Jobs: stops.
   ReclaimedForGuarantee = 300,
   ReclaimedForUrgent = 301,
@@ -41,6 +43,7 @@
   StoppedOrphan = 307,
   FailedOnManyWorkers = 308,
   ThrottledAboveDeclared = 309,
+  ReclaimedForWaiting = 310, ///< For a job that has waited too long.
   // Workers and guarantees.
   QuarantinedFailsTasks = 400,
   ReleasedOnProbation = 401,
@@ -62,6 +65,9 @@
   LogUnavailable = 604,
   ConfigTooOld = 605,
   InstanceLeaving = 606,
+  OwnershipRenewed = 607,
+  SnapshotWritten = 608,
+  UsageObserved = 609,
   // Requests.
   RequestDone = 700,
   RequestRefusedLimit = 701,
@@ -110,6 +116,10 @@
   RequestLimit,
   CheckpointAgeMs,
   ReservedAtMs,
+  ExpectedRuntimeMs,
+  Preemptions,
+  Workers,
+  Homes,
 };
 
 /// One number that decided an action.
