--- a/tests/process.cpp
+++ b/tests/process.cpp
@@ -17,6 +17,8 @@
 
 #include <httplib.h>
 
+#include "pistachioflow/platform/http_clients.hpp"
+
 extern char **environ;
 
 namespace pistachioflow::testing {
@@ -251,6 +253,16 @@
   return itemsOf(call(this->PlatformPort, "GET", "/history/orders"));
 }
 
+std::uint64_t Cluster::entries(const std::string &Stream) const {
+  const SystemClock Time;
+  HttpPoolSettings Settings;
+  Settings.Server = {"127.0.0.1", this->PlatformPort};
+  HttpPool Pool(Settings, Time);
+  HttpLogService Log(Pool, Duration{CallTimeoutSeconds * 1'000});
+  const Result<LogPage> Page = Log.read({Stream}, 0, 1);
+  return Page.has_value() ? Page.value().Next : 0;
+}
+
 void Cluster::faultLog() const {
   call(this->PlatformPort, "POST", "/faults",
        {{"part", "log"}, {"kind", "down"}});
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -93,6 +93,9 @@
   /// Returns every order that workers got, oldest first.
   std::vector<nlohmann::json> orders() const;
 
+  /// Returns how many entries a stream of the log has had.
+  std::uint64_t entries(const std::string &Stream) const;
+
   void faultLog() const;
   void clearFaults() const;
 
