--- a/src/pistachioflow/ctl/command.hpp
+++ b/src/pistachioflow/ctl/command.hpp
@@ -43,6 +43,7 @@
 std::span<const Command> listCommands();
 std::span<const Command> jobCommands();
 std::span<const Command> inspectCommands();
+std::span<const Command> timelineCommands();
 
 /// Sends \p Call with the flags' timeout and prints the answer.
 ExitCode sendAndPrint(const Options &Flags, HttpCall Call);
--- a/src/pistachioflow/ctl/job_commands.cpp
+++ b/src/pistachioflow/ctl/job_commands.cpp
@@ -28,8 +28,20 @@
                       {.Method = "DELETE", .Path = "/v1/jobs/" + Given[0]});
 }
 
+/// A request that did not run is answered with its outcome as well.
 ExitCode request(const Options &Flags, Arguments Given) {
-  return postFile(Flags, "/v1/requests", Given[0]);
+  std::string Text;
+  if (!readFile(Given[0], Text))
+    return ExitCode::Usage;
+  const HttpAnswer Answer = send(Flags.Servers, {.Method = "POST",
+                                                 .Path = "/v1/requests",
+                                                 .Body = Text,
+                                                 .Timeout = Flags.Timeout});
+  if (Answer.Status != 0 && Answer.Body.contains("state"))
+    print(Flags, Answer.Body);
+  else
+    printFailure(Answer);
+  return exitCodeOf(Answer);
 }
 
 constexpr Command Commands[] = {
--- a/src/pistachioflow/daemon/node.hpp
+++ b/src/pistachioflow/daemon/node.hpp
@@ -55,12 +55,15 @@
 
   LocalStatus status() const;
 
+  /// Returns what the decisions of this cluster prefer.
+  policy::Settings preferences() const;
+
   const DaemonSettings Settings;
   const Clock &Time;
   MetricRegistry Metrics;
   EventJournal Journal; ///< What no stream carries.
   PlatformPorts Platform;
-  StreamHistory History;
+  StreamHistory History; ///< What the streams said.
   ConfigController Config;
   KeyController Keys;
   MemberBoard Members;
@@ -72,6 +75,7 @@
 
 private:
   CellPorts cellPorts(std::uint64_t Seed);
+  RecordTap historyTap();
   RequestPorts requestPorts();
   PeerHandlers peerHandlers();
   void startTicks();
