--- a/include/pistachioflow/codec/json_reader.hpp
+++ b/include/pistachioflow/codec/json_reader.hpp
@@ -64,7 +64,7 @@
   ObjectReader(const nlohmann::json &Value, std::string Path, Findings &Out);
 
   std::string text(std::string_view Key, TextRule Rule,
-                   std::optional<std::string> Default = std::nullopt);
+                   const std::optional<std::string> &Default = std::nullopt);
   std::int64_t integer(std::string_view Key, IntegerRange Range,
                        std::optional<std::int64_t> Default = std::nullopt);
   double number(std::string_view Key, double Min, double Max,
--- a/src/pistachioflow/codec/object_reader.cpp
+++ b/src/pistachioflow/codec/object_reader.cpp
@@ -114,7 +114,7 @@
 }
 
 std::string ObjectReader::text(std::string_view Key, TextRule Rule,
-                               std::optional<std::string> Default) {
+                               const std::optional<std::string> &Default) {
   const json *Field = this->find(Key, Default.has_value(), describe(Rule));
   if (Field == nullptr)
     return Default.value_or("");
