--- a/src/pistachioflow/daemon/node.cpp
+++ b/src/pistachioflow/daemon/node.cpp
@@ -87,11 +87,7 @@
       Members(Settings.Instance, Time), WorkerPool(Settings.Threads.Workers),
       Ticks(Settings.Threads.Cells + Settings.Threads.Logs),
       Cells(Settings.Instance, Settings.Domain, Settings.Cell,
-            cellSettings(Settings), this->cellPorts(Seed),
-            [this](const StreamName &Stream, const StreamRecord &Read,
-                   const FoldedRecord &Fate) {
-              this->History.take(Stream, Read, Fate);
-            }),
+            cellSettings(Settings), this->cellPorts(Seed), this->historyTap()),
       Requests(requestSettings(Settings, Seed), this->requestPorts()),
       Peers(peerSettings(Settings, Seed), Time, this->peerHandlers()) {}
 
@@ -109,6 +105,13 @@
                    Seed + CellSeed};
 }
 
+RecordTap Node::historyTap() {
+  return [this](const StreamName &Stream, const StreamRecord &Read,
+                const FoldedRecord &Folded) {
+    this->History.take(Stream, Read, Folded);
+  };
+}
+
 RequestPorts Node::requestPorts() {
   const auto CurrentLists = [this]() -> std::shared_ptr<const Lists> {
     if (!this->Config.mayTakeNewWork())
@@ -211,6 +214,10 @@
   return Status;
 }
 
+policy::Settings Node::preferences() const {
+  return cellSettings(this->Settings).Prefer;
+}
+
 bool Node::ready() const {
   return this->Started && !this->Members.leaving() &&
          this->Config.mayTakeNewWork();
--- a/src/pistachioflow/daemon/node_backend.cpp
+++ b/src/pistachioflow/daemon/node_backend.cpp
@@ -123,11 +123,33 @@
 }
 
 RequestOutcome NodeBackend::request(const CallerRequest &Request) {
-  return this->Parts.Requests.handle(Request);
+  {
+    const std::lock_guard Guard(this->Lock);
+    this->InProgress.emplace(Request.Request, Request.Workspace);
+  }
+  RequestOutcome Outcome = this->Parts.Requests.handle(Request);
+  const std::lock_guard Guard(this->Lock);
+  const auto [First, Last] = this->InProgress.equal_range(Request.Request);
+  const auto Mine = std::find_if(First, Last, [&](const auto &Entry) {
+    return Entry.second == Request.Workspace;
+  });
+  if (Mine != Last)
+    this->InProgress.erase(Mine);
+  return Outcome;
+}
+
+void NodeBackend::cancelRequest(const RequestId &Request) {
+  WorkspaceId Workspace;
+  {
+    const std::lock_guard Guard(this->Lock);
+    // Requests of several workspaces may have the same id: cancel none of them.
+    if (this->InProgress.count(Request) != 1)
+      return;
+    Workspace = this->InProgress.find(Request)->second;
+  }
+  this->Parts.Requests.cancel(Workspace, Request);
 }
 
-void NodeBackend::cancelRequest(const RequestId &) {}
-
 NodeStatus NodeBackend::ownStatus() const {
   return toNodeStatus(this->Parts.Settings.Instance, this->Parts.status());
 }
--- a/src/pistachioflow/platform/wire.cpp
+++ b/src/pistachioflow/platform/wire.cpp
@@ -183,7 +183,7 @@
 
 RunnerCall readRunnerCall(ObjectReader In) {
   RunnerCall Read;
-  Read.Request.Value = In.text("request", TextRule::Identifier);
+  Read.Request.Value = In.text("request", TextRule::Key);
   Read.Workspace.Value = In.text("workspace", TextRule::Identifier);
   Read.Class = In.choice<RequestClass>("class");
   Read.Key = In.text("key", TextRule::Free);
@@ -203,7 +203,7 @@
 
 RunnerReply readRunnerReply(ObjectReader In) {
   RunnerReply Read;
-  Read.Request.Value = In.text("request", TextRule::Identifier);
+  Read.Request.Value = In.text("request", TextRule::Key);
   Read.Runner.Value = In.text("runner", TextRule::Identifier);
   Read.Refused = In.flag("refused");
   Read.Body = In.text("body", TextRule::Free);
