Reserve for fewer large jobs where completion time weighs more

Change: one reservation for each 64 workers, or for each 16 where fragmentation weighs at least 0.5.

--- a/src/pistachioflow/policy/reservation.cpp
+++ b/src/pistachioflow/policy/reservation.cpp
@@ -12,7 +12,11 @@
 
 namespace {
 
-constexpr std::size_t WorkersPerReservation = 16;
+/// One reservation for this many workers, beside the first one: where
+/// completion time weighs more, and where fragmentation does.
+constexpr std::size_t WorkersPerReservation = 64;
+constexpr std::size_t WorkersPerReservationWhenFragmented = 16;
+constexpr double FragmentationWeighsMore = 0.5;
 
 /// Gangs of at least this size are alike in the order of reservations.
 constexpr std::int64_t LargeAccelerators = 16;
@@ -141,6 +145,14 @@
   return Chosen;
 }
 
+std::size_t mostReservations(const Plan &Draft) {
+  const bool Fragmented =
+      Draft.Prefer.FragmentationWeight >= FragmentationWeighsMore;
+  const std::size_t Workers =
+      Fragmented ? WorkersPerReservationWhenFragmented : WorkersPerReservation;
+  return 1 + Draft.Cap.Slots.size() / Workers;
+}
+
 /// Ends the least urgent reservation where \p Job is much more urgent.
 void makeWay(Plan &Draft, const JobState &Job) {
   const Reservation *Least = nullptr;
@@ -170,7 +182,7 @@
 }
 
 void decideReservations(Plan &Draft) {
-  const std::size_t Most = 1 + Draft.Cap.Slots.size() / WorkersPerReservation;
+  const std::size_t Most = mostReservations(Draft);
   const JobState *Job = mostBlocked(Draft);
   if (!Job)
     return;
