--- a/src/pistachioflow/daemon/explanations.cpp
+++ b/src/pistachioflow/daemon/explanations.cpp
@@ -43,10 +43,7 @@
 
 explain::CellView viewOf(const Node &Parts, const CellFold &Fold,
                          std::span<const TimelineEvent> Events) {
-  policy::Settings Prefer;
-  Prefer.FragmentationWeight = Parts.Settings.Policy.FragmentationWeight;
-  Prefer.ReclaimDeadline = Parts.Settings.Policy.ReclaimDeadline;
-  return {Fold.Cell, Prefer, Parts.Time.wall(), Events};
+  return {Fold.Cell, Parts.preferences(), Fold.Time.Now, Events};
 }
 
 Result<std::string> explainInCell(const explain::CellView &View,
--- a/src/pistachioflow/daemon/node_backend.hpp
+++ b/src/pistachioflow/daemon/node_backend.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <map>
+#include <mutex>
+
 #include "pistachioflow/api/backend.hpp"
 #include "pistachioflow/daemon/node.hpp"
 
@@ -39,6 +42,9 @@
   NodeStatus ownStatus() const;
 
   Node &Parts;
+  std::mutex Lock;
+  /// The workspaces of the requests in progress.
+  std::multimap<RequestId, WorkspaceId> InProgress;
 };
 
 } // namespace pistachioflow
--- a/src/pistachioflow/standin/platform_clients_test.cpp
+++ b/src/pistachioflow/standin/platform_clients_test.cpp
@@ -167,6 +167,18 @@
   CHECK(Next.Request.Value == "r-2");
 }
 
+TEST_CASE("ids of the request path reach a runner as they are") {
+  constexpr std::size_t LongestId = 200;
+  const std::string Id =
+      GENERATE_COPY(as<std::string>{}, "r-1#entry-1-0123456789abcdef-1",
+                    std::string(LongestId, 'r'));
+  Bench Over;
+  const RunnerAnswer Answer =
+      Over.Runners.send(Runner, makeRequest(Id), Generous);
+  CHECK(Answer.State == SendState::Answered);
+  CHECK(Answer.Request.Value == Id);
+}
+
 TEST_CASE("a second copy of an answer never becomes the next one's") {
   Bench Over;
   Over.fault(FaultPart::Runners, FaultKind::Twice);
