Prefer near runners only while half of their slots are free; measure

Cause: the fixed bias of two slots made requests wait near at 0.9; round pairings waited behind floors of 15% at twice the capacity.

--- a/include/pistachioflow/filter/admission_queue.hpp
+++ b/include/pistachioflow/filter/admission_queue.hpp
@@ -21,7 +21,7 @@
   std::size_t Capacity = 256;
   /// The share of grants that each class gets while it waits, whatever waits
   /// before it. What is left goes by class order.
-  std::array<double, RequestClasses> Floor{0.0, 0.10, 0.05};
+  std::array<double, RequestClasses> Floor{0.0, 0.06, 0.03};
 };
 
 struct WaitingRequest {
--- a/include/pistachioflow/filter/routing.hpp
+++ b/include/pistachioflow/filter/routing.hpp
@@ -27,9 +27,11 @@
   /// that refuses one gets none for a while.
   std::uint32_t Backlog = 2;
   Duration NoBacklogAfterRefusal{10'000};
-  Duration AfterRefusal{20};   ///< Without requests after a refusal.
-  double StallFactor = 3.0;    ///< Usual times without any answer of a runner.
-  std::uint32_t LocalBias = 2; ///< Slots more that a near runner may have busy.
+  Duration AfterRefusal{20}; ///< Without requests after a refusal.
+  double StallFactor = 3.0;  ///< Usual times without any answer of a runner.
+  /// The used part of a near runner's slots up to which a less loaded one
+  /// elsewhere does not matter.
+  double NearWhileUsed = 0.5;
 };
 
 enum class RunnerHealth : std::uint8_t {
--- a/src/pistachioflow/filter/routing.cpp
+++ b/src/pistachioflow/filter/routing.cpp
@@ -152,8 +152,8 @@
   if (Near.empty())
     return Far;
   const std::size_t Close = leastLoaded(Runners, Near, Random);
-  const bool Waits =
-      Runners[Close].load() > Runners[Far].load() + Settings.LocalBias;
+  const bool Waits = usedShare(Runners[Close]) > Settings.NearWhileUsed &&
+                     Runners[Close].load() > Runners[Far].load();
   return Waits ? Far : Close;
 }
 
