--- a/src/pistachioflow/controller/ownership_test.cpp
+++ b/src/pistachioflow/controller/ownership_test.cpp
@@ -203,11 +203,27 @@
   noteRecord(View, renewal("r9", A, 1), Lease, {5'100});
   REQUIRE(noteRecord(View, Own, Lease, {5'100}));
   CHECK_FALSE(mayAct(View, B, Lease, {5'100}));
-  CHECK_FALSE(mayRelease(View, B, {8'099}));
-  CHECK(mayRelease(View, B, {8'100}));
   REQUIRE(sendAndRead(View, renewal("r10", B, 2), {6'000}, {6'010}));
   CHECK_FALSE(mayAct(View, B, Lease, {8'099}));
   CHECK(mayAct(View, B, Lease, {8'100}));
+  noteStopping(View, {6'100});
+  CHECK_FALSE(mayRelease(View, B, Lease, {8'099}));
+  CHECK(mayRelease(View, B, Lease, {8'100}));
+}
+
+TEST_CASE("claiming its own stream again shortens no wait for others") {
+  LeaseView View = viewOfOther();
+  const Record Own = claim("c2", B, 2);
+  noteSending(View, Own, {5'000});
+  noteRecord(View, renewal("r9", A, 1), Lease, {9'000});
+  REQUIRE(noteRecord(View, Own, Lease, {9'000}));
+  noteReadEnd(View, {9'000});
+  REQUIRE(nextLeaseStep(View, B, B, Lease, {9'000}) == LeaseStep::Claim);
+  REQUIRE(sendAndRead(View, claim("c3", B, 3), {9'100}, {9'110}));
+  CHECK_FALSE(mayAct(View, B, Lease, {9'110}));
+  REQUIRE(sendAndRead(View, renewal("r10", B, 3), {11'000}, {11'010}));
+  CHECK_FALSE(mayAct(View, B, Lease, {11'999}));
+  CHECK(mayAct(View, B, Lease, {12'000}));
 }
 
 TEST_CASE("a claim that lost the race owns nothing") {
@@ -240,10 +256,14 @@
 
 TEST_CASE("an owner stops before it sends its release") {
   LeaseView View = viewOfOwner();
-  REQUIRE(mayRelease(View, A, {1'100}));
-  noteSending(View, release("x", A, 1, B), {1'100});
+  CHECK_FALSE(mayRelease(View, A, Lease, {1'100}));
+  noteStopping(View, {1'100});
   CHECK_FALSE(mayAct(View, A, Lease, {1'100}));
   CHECK(nextLeaseStep(View, A, A, Lease, {2'400}) == LeaseStep::Wait);
+  CHECK_FALSE(mayRelease(View, A, Lease, {1'599}));
+  REQUIRE(mayRelease(View, A, Lease, {1'600}));
+  REQUIRE(sendAndRead(View, release("x", A, 1, B), {1'600}, {1'610}));
+  CHECK_FALSE(mayRelease(View, A, Lease, {1'620}));
 }
 
 TEST_CASE("a snapshot shows an owner and proves no lease") {
--- a/src/pistachioflow/ctl/main.cpp
+++ b/src/pistachioflow/ctl/main.cpp
@@ -32,7 +32,8 @@
 
 std::vector<Command> allCommands() {
   std::vector<Command> All;
-  for (const auto Group : {listCommands(), jobCommands(), inspectCommands()})
+  for (const auto Group :
+       {listCommands(), jobCommands(), inspectCommands(), timelineCommands()})
     All.insert(All.end(), Group.begin(), Group.end());
   return All;
 }
--- a/src/pistachioflow/policy/guaranteed.cpp
+++ b/src/pistachioflow/policy/guaranteed.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "pistachioflow/policy/capacity.hpp"
+#include "pistachioflow/policy/home_use.hpp"
 #include "pistachioflow/policy/queue_cursor.hpp"
 #include "pistachioflow/policy/reasons.hpp"
 #include "pistachioflow/policy/reclaim.hpp"
@@ -12,16 +13,37 @@
 
 namespace {
 
-/// Returns what is idle of the homes of the job's workspace.
+/// Returns what is idle of the homes that the job may use.
 Rooms roomInHomes(Plan &Draft, const JobState &Job) {
   Rooms Room(Draft.Cap.Slots.size());
-  for (const HomePart &Part : Draft.use(Job.Spec.Workspace).Parts)
-    if (Draft.Cap.Slots[Part.Slot].Usable)
-      Room[Part.Slot] = most(Part.Total - Part.Used, {});
+  const auto &Homes = Draft.MovedHomes ? *Draft.MovedHomes : Draft.State.Homes;
+  for (const Home &Of : Homes) {
+    if (Of.Workspace != Job.Spec.Workspace ||
+        !mayUseHome(Job.Spec.Shape, Of.Shape))
+      continue;
+    for (const Placement &Place : Of.Placements)
+      if (const auto Slot = Draft.Index.SlotOf.find(Place.Worker);
+          Slot != Draft.Index.SlotOf.end())
+        Room[Slot->second] += perTask(Of.Shape) * Place.Tasks;
+  }
+  for (const HomePart &Part : Draft.use(Job.Spec.Workspace).Parts) {
+    const bool Usable = Draft.Cap.Slots[Part.Slot].Usable;
+    const Amount Idle = most(Part.Total - Part.Used, {});
+    Room[Part.Slot] = Usable ? least(Room[Part.Slot], Idle) : Amount{};
+  }
   leaveOutFailed(Draft, Job, Room);
   return Room;
 }
 
+/// Tells whether the workspace's homes can have room, without a search.
+bool mayFitHomes(Plan &Draft, const JobState &Job) {
+  const GangShape &Shape = Job.Spec.Shape;
+  std::int64_t Fit = 0;
+  for (const HomePart &Part : Draft.use(Job.Spec.Workspace).Parts)
+    Fit += tasksThatFit(Part.Total - Part.Used, perTask(Shape), Shape.Tasks);
+  return Fit >= Shape.Tasks;
+}
+
 Rooms onlyFree(const Plan &Draft, Rooms Room) {
   for (SlotIndex Slot = 0; Slot < Room.size(); ++Slot)
     if (Room[Slot] != Amount{})
@@ -43,23 +65,6 @@
                    "borrow elsewhere");
 }
 
-/// Prefers the part of the homes that lacks least.
-std::optional<Shares> placeInHomes(Plan &Draft, const GangShape &Shape,
-                                   const Rooms &Room) {
-  const auto Cost = [&](std::span<const SlotShare> At) {
-    std::int64_t Lacks = 0;
-    for (const SlotShare &Share : At) {
-      const WorkerSlot &Slot = Draft.Cap.Slots[Share.Slot];
-      const Amount There = Slot.Free + Slot.Coming - Draft.Held[Share.Slot];
-      const Amount Short = most(perTask(Shape) * Share.Tasks - There, {});
-      Lacks += Short.Accelerators * 1'000 + Short.Cores;
-    }
-    return Lacks;
-  };
-  return findPlacement({Draft.Cap, Shape, Room}, Cost,
-                       Draft.Work.PlacementsWeighed);
-}
-
 /// Keeps the capacity and the share of the guarantee for the waiting job.
 void waitAt(Plan &Draft, const JobState &Job, std::span<const SlotShare> At) {
   WorkspaceUse &Use = Draft.use(Job.Spec.Workspace);
@@ -136,6 +141,8 @@
 enum class Outcome { Taken, NoRoom };
 
 Outcome takeHome(Plan &Draft, const JobState &Job) {
+  if (!mayFitHomes(Draft, Job))
+    return Outcome::NoRoom;
   const Rooms Idle = roomInHomes(Draft, Job);
   const bool Under = Draft.underCeiling(Job);
   if (Under) {
@@ -146,18 +153,19 @@
       return Outcome::Taken;
     }
   }
-  const auto At = placeInHomes(Draft, Job.Spec.Shape, Idle);
-  if (!At)
-    return Outcome::NoRoom;
-  if (!reclaimUnderCeiling(Draft, Job))
+  auto Place =
+      placeWithReclaim(Draft, Job.Spec.Shape, Idle, ReclaimKind::Guarantee);
+  if (!Place || !reclaimUnderCeiling(Draft, Job))
     return Outcome::NoRoom;
   if (Under && moveHome(Draft, Job))
     return Outcome::Taken;
-  const auto Chosen =
-      chooseVictims(Draft, Job.Spec.Shape, *At, ReclaimKind::Guarantee);
-  if (Chosen)
-    reclaim(Draft, Job, *Chosen, ReasonCode::ReclaimedForGuarantee);
-  waitAt(Draft, Job, *At);
+  if (!Under)
+    Place =
+        placeWithReclaim(Draft, Job.Spec.Shape, Idle, ReclaimKind::Guarantee);
+  if (!Place)
+    return Outcome::NoRoom;
+  reclaim(Draft, Job, Place->Leaving, ReasonCode::ReclaimedForGuarantee);
+  waitAt(Draft, Job, Place->At);
   return Outcome::Taken;
 }
 
