--- a/include/pistachioflow/filter/dispatch.hpp
+++ b/include/pistachioflow/filter/dispatch.hpp
@@ -71,15 +71,16 @@
   /// Takes over the platform's list. A runner that left it gets nothing new.
   void setRunners(std::span<const RunnerInfo> Listed);
 
-  /// Takes over what all peers together have in flight.
-  void setPeerLoads(std::span<const RunnerInFlight> Loads);
+  /// Takes over what all peers together have in flight. The same loads again
+  /// count as not renewed.
+  void setPeerLoads(std::vector<RunnerInFlight> Loads, Instant Now);
 
   /// Precondition: \p Count is at least 1.
   void setInstances(std::uint32_t Count) { this->Instances = Count; }
 
   /// Returns why a new request cannot be served by \p Deadline, if so.
   std::optional<ReasonCode> refuseEarly(RequestClass Class, Instant Deadline,
-                                        Instant Now) const;
+                                        Instant Now);
 
   /// Adds a request. It may be refused or granted at once.
   DispatchResult enqueue(const WaitingRequest &Request, Instant Now);
@@ -101,13 +102,14 @@
   std::uint32_t inFlight() const { return this->OwnTotal; }
   std::span<const RunnerState> runners() const { return this->Runners; }
 
-  /// Returns the usual time of a class; 0 before its first answer.
-  Duration usual(RequestClass Class) const;
+  /// Returns the time below which a request of \p Class is not worth sending;
+  /// 0 before its first answer.
+  Duration shortest(RequestClass Class) const;
 
 private:
   struct Capacity {
     std::uint32_t Slots = 0;
-    std::uint32_t Free = 0;
+    double Free = 0;
   };
 
   Capacity capacity() const;
@@ -123,6 +125,8 @@
   std::unordered_map<RunnerId, std::size_t> IndexOf;
   std::array<double, RequestClasses> UsualMs{};
   double UsualOfAllMs = 0;
+  std::vector<RunnerInFlight> PeerLoads;
+  Instant PeersRenewedAt;
   std::uint32_t OwnTotal = 0;
   std::uint32_t Instances = 1;
 };
--- a/src/pistachioflow/daemon/node.cpp
+++ b/src/pistachioflow/daemon/node.cpp
@@ -81,12 +81,13 @@
            std::uint64_t Seed)
     : Settings(Settings), Time(Time), Journal(Settings.Limits.JournalEvents),
       Platform(Settings, Time, this->Metrics),
+      History(this->Platform.Log, Settings.Limits.JournalEvents),
       Config(this->Platform.Log, Time, Settings.Instance, Seed + ConfigSeed),
       Keys(this->Platform.Log, Time, keySettings(Settings, Seed)),
       Members(Settings.Instance, Time), WorkerPool(Settings.Threads.Workers),
       Ticks(Settings.Threads.Cells + Settings.Threads.Logs),
       Cells(Settings.Instance, Settings.Domain, Settings.Cell,
-            cellSettings(Settings), this->cellPorts(Seed), {}),
+            cellSettings(Settings), this->cellPorts(Seed), this->historyTap()),
       Requests(requestSettings(Settings, Seed), this->requestPorts()),
       Peers(peerSettings(Settings, Seed), Time, this->peerHandlers()) {}
 
@@ -104,6 +105,13 @@
                    Seed + CellSeed};
 }
 
+RecordTap Node::historyTap() {
+  return [this](const StreamName &Stream, const StreamRecord &Read,
+                const FoldedRecord &Folded) {
+    this->History.take(Stream, Read, Folded);
+  };
+}
+
 RequestPorts Node::requestPorts() {
   const auto CurrentLists = [this]() -> std::shared_ptr<const Lists> {
     if (!this->Config.mayTakeNewWork())
@@ -206,6 +214,10 @@
   return Status;
 }
 
+policy::Settings Node::preferences() const {
+  return cellSettings(this->Settings).Prefer;
+}
+
 bool Node::ready() const {
   return this->Started && !this->Members.leaving() &&
          this->Config.mayTakeNewWork();
--- a/src/pistachioflow/daemon/node.hpp
+++ b/src/pistachioflow/daemon/node.hpp
@@ -12,6 +12,7 @@
 #include "pistachioflow/daemon/member_board.hpp"
 #include "pistachioflow/daemon/platform_ports.hpp"
 #include "pistachioflow/daemon/schedule.hpp"
+#include "pistachioflow/daemon/stream_history.hpp"
 #include "pistachioflow/filter/request_service.hpp"
 #include "pistachioflow/peer/peer_exchange.hpp"
 
@@ -54,11 +55,15 @@
 
   LocalStatus status() const;
 
+  /// Returns what the decisions of this cluster prefer.
+  policy::Settings preferences() const;
+
   const DaemonSettings Settings;
   const Clock &Time;
   MetricRegistry Metrics;
-  EventJournal Journal;
+  EventJournal Journal; ///< What no stream carries.
   PlatformPorts Platform;
+  StreamHistory History; ///< What the streams said.
   ConfigController Config;
   KeyController Keys;
   MemberBoard Members;
@@ -70,6 +75,7 @@
 
 private:
   CellPorts cellPorts(std::uint64_t Seed);
+  RecordTap historyTap();
   RequestPorts requestPorts();
   PeerHandlers peerHandlers();
   void startTicks();
--- a/src/pistachioflow/filter/dispatch.cpp
+++ b/src/pistachioflow/filter/dispatch.cpp
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr double LearnWeight = 0.05;
+/// Answers may well come in less than the usual time.
+constexpr double ShortestPart = 0.5;
+/// A refusal teaches nothing, so each one lowers the time that caused it: an
+/// estimate that is too high must not refuse for ever.
+constexpr double DecayOnRefusal = 0.95;
 /// Below this part of its share, an instance may try runners that look full.
 constexpr std::uint32_t StarvedPart = 4;
 
@@ -40,18 +45,22 @@
     this->IndexOf[this->Runners[Index].Info.Runner] = Index;
 }
 
-void Dispatch::setPeerLoads(std::span<const RunnerInFlight> Loads) {
+void Dispatch::setPeerLoads(std::vector<RunnerInFlight> Loads, Instant Now) {
+  if (Loads == this->PeerLoads)
+    return;
+  this->PeerLoads = std::move(Loads);
+  this->PeersRenewedAt = Now;
   for (RunnerState &Each : this->Runners)
-    Each.Peers = 0;
-  for (const RunnerInFlight &Load : Loads) {
+    Each.Gossiped = 0;
+  for (const RunnerInFlight &Load : this->PeerLoads) {
     const auto Found = this->IndexOf.find(Load.Runner);
     if (Found != this->IndexOf.end())
-      this->Runners[Found->second].Peers += Load.Count;
+      this->Runners[Found->second].Gossiped += Load.Count;
   }
 }
 
-std::optional<ReasonCode>
-Dispatch::refuseEarly(RequestClass Class, Instant Deadline, Instant Now) const {
+std::optional<ReasonCode> Dispatch::refuseEarly(RequestClass Class,
+                                                Instant Deadline, Instant Now) {
   if (this->Runners.empty())
     return ReasonCode::RequestNoRunner;
   double WaitMs = 0;
@@ -61,10 +70,11 @@
     const double Part = static_cast<double>(Has.Slots) / this->Instances;
     WaitMs = static_cast<double>(Ahead) * this->UsualOfAllMs / Part;
   }
-  const double NeedMs = WaitMs + this->UsualMs[indexOf(Class)];
-  if (static_cast<double>((Deadline - Now).Ms) < NeedMs)
-    return ReasonCode::RequestRefusedDeadline;
-  return std::nullopt;
+  const double NeedMs = WaitMs + ShortestPart * this->UsualMs[indexOf(Class)];
+  if (static_cast<double>((Deadline - Now).Ms) >= NeedMs)
+    return std::nullopt;
+  this->UsualMs[indexOf(Class)] *= DecayOnRefusal;
+  return ReasonCode::RequestRefusedDeadline;
 }
 
 DispatchResult Dispatch::enqueue(const WaitingRequest &Request, Instant Now) {
@@ -127,8 +137,8 @@
   return Loads;
 }
 
-Duration Dispatch::usual(RequestClass Class) const {
-  return {std::llround(this->UsualMs[indexOf(Class)])};
+Duration Dispatch::shortest(RequestClass Class) const {
+  return {std::llround(ShortestPart * this->UsualMs[indexOf(Class)])};
 }
 
 Dispatch::Capacity Dispatch::capacity() const {
@@ -137,8 +147,8 @@
     if (!Each.Listed || Each.Info.Leaving ||
         Each.Health != RunnerHealth::Healthy)
       continue;
-    Sum.Slots += Each.Info.Slots;
-    Sum.Free += Each.Info.Slots - std::min(Each.Info.Slots, Each.load());
+    Sum.Slots += Each.places();
+    Sum.Free += std::max(0.0, Each.places() - Each.load());
   }
   return Sum;
 }
@@ -146,11 +156,15 @@
 void Dispatch::pumpInto(DispatchResult &Result, Instant Now) {
   if (this->Queue.size() == 0)
     return;
-  std::array<Duration, RequestClasses> Usual{};
+  std::array<Duration, RequestClasses> Shortest{};
   for (std::size_t Class = 0; Class < RequestClasses; ++Class)
-    Usual[Class] = this->usual(static_cast<RequestClass>(Class));
-  while (const auto Hopeless = this->Queue.takeHopeless(Now, Usual))
+    Shortest[Class] = this->shortest(static_cast<RequestClass>(Class));
+  while (const auto Hopeless = this->Queue.takeHopeless(Now, Shortest)) {
+    this->UsualMs[indexOf(Hopeless->Class)] *= DecayOnRefusal;
     Result.Refusals.push_back({Hopeless->Ticket});
+  }
+  setBacklogs(this->Runners, Now, this->Settings.Routing);
+  estimatePeers(this->Runners, Now - this->PeersRenewedAt, this->UsualOfAllMs);
   while (const WaitingRequest *Due = this->Queue.peek()) {
     const auto Index = this->pickFor(*Due, Now);
     if (!Index)
