--- a/tests/failure_measure_test.cpp
+++ b/tests/failure_measure_test.cpp
@@ -63,11 +63,15 @@
   std::vector<std::int64_t> Times;
   for (int Kill = 1; Kill <= Kills; ++Kill) {
     std::string Old;
-    REQUIRE(eventually([&] {
+    std::string Seen;
+    const bool Owned = eventually([&] {
       // What peers last said of a dead instance is shown for a while.
       Old = Run.owner(Run.other());
+      Seen = call(Run.other().HttpPort, "GET", "/v1/nodes").Body.dump();
       return isRunning(Run, Old);
-    }));
+    });
+    INFO(Seen);
+    REQUIRE(Owned);
     const std::string Job = "job-" + std::to_string(Kill);
     REQUIRE(Run.submit(Run.other(), "warm-" + Job, 1, 100) == 202);
     REQUIRE(eventually([&] {
