Bound the closing of peer sockets, check edits for packing, mend lint

Cause: peer_tests hung twice on an idle machine in nng_close; the stack shows the library's reaper waiting for an operation whose end was lost. Ruled out: locks of ours (no thread of ours held one). The exchange now closes on a thread of its own and goes on after 2 s, so that neither a tick nor a planned stop can hang. Each test program is ended after 300 s.

An edit whose guarantees cannot be packed on the workers at hand is now refused with every finding: the check existed, but nothing called it.

--- a/bench/capacity/measure_messages.cpp
+++ b/bench/capacity/measure_messages.cpp
@@ -16,7 +16,8 @@
 
 constexpr std::uint32_t GangCounts[] = {0, 1, 4, 8};
 constexpr std::uint32_t RunnerCounts[] = {0, 10, 25, 50};
-constexpr std::uint32_t Calls = 300;
+constexpr std::size_t Calls = 300;
+constexpr std::size_t MostCallsOfConnection = 10 * Calls;
 constexpr Duration CallTimeout{5'000};
 constexpr std::size_t LineEnds = 4; ///< ": " and CR LF of one header.
 
@@ -32,7 +33,7 @@
 class CountingServer {
 public:
   CountingServer() {
-    this->Server.set_keep_alive_max_count(Calls * 10);
+    this->Server.set_keep_alive_max_count(MostCallsOfConnection);
     this->Server.set_tcp_nodelay(true);
     const auto Answer = [this](const httplib::Request &,
                                httplib::Response &Response) {
@@ -139,7 +140,7 @@
 /// Processor time that the caller of one call spends.
 double callMicros(HttpWorkerGateway &Gateway) {
   const double Start = threadMicros();
-  for (std::uint32_t I = 0; I < Calls; ++I)
+  for (std::size_t I = 0; I < Calls; ++I)
     static_cast<void>(Gateway.report({"worker-1000"}));
   return (threadMicros() - Start) / Calls;
 }
--- a/bench/state_fold.cpp
+++ b/bench/state_fold.cpp
@@ -112,16 +112,16 @@
 void fill(MemoryLog &Log, std::size_t Length, std::size_t SnapshotEvery) {
   RecordIdSource Ids(7);
   const std::vector<char> State(256U << 10U, 's');
-  const auto append = [&](Payload What) {
+  const auto Append = [&](Payload What) {
     static_cast<void>(
         Log.append(Stream, encodeRecord(make(Ids, 1, std::move(What)))));
   };
-  append(OwnerClaimed{{"instance-1"}});
+  Append(OwnerClaimed{{"instance-1"}});
   for (std::size_t At = 1; At < Length; ++At) {
     if (SnapshotEvery != 0 && At % SnapshotEvery == 0)
-      append(SnapshotTaken{At, State});
+      Append(SnapshotTaken{At, State});
     else
-      append(decisions(2));
+      Append(decisions(2));
   }
 }
 
@@ -215,14 +215,14 @@
   RecordIdSource Ids(Seed);
   const InstanceId Old{"instance-1"};
   const InstanceId New{"instance-2"};
-  const auto below = [&Draw](std::int64_t End) {
+  const auto Below = [&Draw](std::int64_t End) {
     return static_cast<std::int64_t>(Draw() % static_cast<std::uint64_t>(End));
   };
   LeaseView View;
   Record Claim = make(Ids, 1, OwnerClaimed{Old});
   // The last sign took effect at 0; the owner died within the next renewal.
-  const std::int64_t DiedAt = below(Settings.RenewEvery.Ms);
-  std::int64_t Now = below(PollMs);
+  const std::int64_t DiedAt = Below(Settings.RenewEvery.Ms);
+  std::int64_t Now = Below(PollMs);
   noteRecord(View, Claim, Settings, {Now + LogMs});
   noteReadEnd(View, {Now});
   constexpr std::int64_t GiveUpMs = 60'000;
@@ -312,7 +312,7 @@
   printProcess("before");
   std::vector<std::unique_ptr<PeerExchange>> Nodes;
   std::vector<PeerAddress> Addresses;
-  const auto add = [&] {
+  const auto Add = [&] {
     PeerSettings Settings;
     Settings.Self = {"instance-" + std::to_string(Nodes.size())};
     Settings.Seed = Nodes.size();
@@ -321,23 +321,23 @@
     Addresses.push_back(
         {Settings.Self, "127.0.0.1", Nodes.back()->start().value()});
   };
-  add();
+  Add();
   printProcess("one exchange");
   for (int Number = 1; Number < 9; ++Number)
-    add();
+    Add();
   printProcess("nine exchanges, not connected");
   for (auto &Node : Nodes) {
     Node->setPeers(Addresses);
     Node->publish(status(50, 2));
   }
-  const auto everyoneHeard = [&] {
+  const auto EveryoneHeard = [&] {
     return std::all_of(Nodes.begin(), Nodes.end(), [](const auto &Node) {
       return Node->peers().size() == 8;
     });
   };
   const auto Limit =
       std::chrono::steady_clock::now() + std::chrono::seconds(30);
-  while (!everyoneHeard() && std::chrono::steady_clock::now() < Limit)
+  while (!EveryoneHeard() && std::chrono::steady_clock::now() < Limit)
     std::this_thread::yield();
   printProcess("nine exchanges, full mesh");
   const PeerCounters Counts = Nodes.front()->counters();
@@ -357,13 +357,13 @@
       {"failover", failovers},      {"gossip", gossip},
       {"exchange", exchangeAtRest},
   };
-  for (const auto &[Name, Run] : Sections) {
+  for (const auto &Section : Sections) {
     const bool IsAsked =
         Count == 1 ||
         std::any_of(Arguments + 1, Arguments + Count,
-                    [&](const char *Asked) { return Name == Asked; });
+                    [&](const char *Asked) { return Section.Name == Asked; });
     if (IsAsked)
-      Run();
+      Section.Run();
   }
   return 0;
 }
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,3 +1,6 @@
+# Ends a test program that hangs, far beyond what any of them takes.
+set(PISTACHIOFLOW_TEST_TIMEOUT_S 300)
+
 set(PISTACHIOFLOW_WARNINGS -Wall -Wextra -Wpedantic -Wno-missing-field-initializers
     -Werror)
 
@@ -38,6 +41,7 @@
       PISTACHIOFLOW_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_precompile_headers(${name}_tests PRIVATE <catch2/catch.hpp>)
     add_test(NAME ${name} COMMAND ${name}_tests)
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${PISTACHIOFLOW_TEST_TIMEOUT_S})
   endif()
 endfunction()
 
@@ -80,6 +84,7 @@
     target_precompile_headers(process_tests PRIVATE <catch2/catch.hpp>)
     add_dependencies(process_tests pistachiod pistachioctl pistachio-standin)
     add_test(NAME processes COMMAND process_tests)
+    set_tests_properties(processes PROPERTIES TIMEOUT ${PISTACHIOFLOW_TEST_TIMEOUT_S})
   endif()
 endfunction()
 
--- a/src/pistachioflow/daemon/node.cpp
+++ b/src/pistachioflow/daemon/node.cpp
@@ -8,6 +8,7 @@
 
 #include "pistachioflow/base/log.hpp"
 #include "pistachioflow/peer/config_forwarding.hpp"
+#include "pistachioflow/policy/packing.hpp"
 
 namespace pistachioflow {
 
@@ -82,7 +83,8 @@
     : Settings(Settings), Time(Time), Journal(Settings.Limits.JournalEvents),
       Platform(Settings, Time, this->Metrics),
       History(this->Platform.Log, Settings.Limits.JournalEvents),
-      Config(this->Platform.Log, Time, Settings.Instance, Seed + ConfigSeed),
+      Config(this->Platform.Log, Time, Settings.Instance, Seed + ConfigSeed, {},
+             [this](const Lists &Edited) { return this->checkLists(Edited); }),
       Keys(this->Platform.Log, Time, keySettings(Settings, Seed)),
       Members(Settings.Instance, Time), WorkerPool(Settings.Threads.Workers),
       Ticks(Settings.Threads.Cells + Settings.Threads.Logs),
@@ -105,6 +107,20 @@
                    Seed + CellSeed};
 }
 
+Findings Node::checkLists(const Lists &Edited) const {
+  std::vector<WorkerInfo> Workers;
+  for (const CellController *Cell : this->Cells.all()) {
+    Cell->read([&Workers](const CellFold &Fold) {
+      for (const auto &[Name, Known] : Fold.Cell.Workers) {
+        if (!Known.Lost)
+          Workers.push_back(Known.Info);
+      }
+    });
+  }
+  // Before any worker has joined there is nothing to hold the lists against.
+  return Workers.empty() ? Findings{} : policy::checkPacking(Edited, Workers);
+}
+
 RecordTap Node::historyTap() {
   return [this](const StreamName &Stream, const StreamRecord &Read,
                 const FoldedRecord &Folded) {
--- a/src/pistachioflow/daemon/node.hpp
+++ b/src/pistachioflow/daemon/node.hpp
@@ -75,6 +75,7 @@
 
 private:
   CellPorts cellPorts(std::uint64_t Seed);
+  Findings checkLists(const Lists &Edited) const;
   RecordTap historyTap();
   RequestPorts requestPorts();
   PeerHandlers peerHandlers();
--- a/src/pistachioflow/peer/peer_exchange.cpp
+++ b/src/pistachioflow/peer/peer_exchange.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <deque>
+#include <future>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -31,6 +34,8 @@
 constexpr std::size_t MaxHeardPeers = 1'024;
 constexpr Duration ForgetPeerAfter{60'000};
 
+constexpr std::chrono::milliseconds CloseTimeout{2'000};
+
 std::string urlOf(const std::string &Host, std::uint16_t Port) {
   return "tcp://" + Host + ":" + std::to_string(Port);
 }
@@ -67,6 +72,20 @@
   Socket Out;
 };
 
+/// Closes \p Closing on a thread of its own and waits for it at most
+/// CloseTimeout. The library may lose the end of an operation that races with a
+/// close (nng 1.5), and then waits for it without end; the caller must not.
+template <typename Closable> void closeWithin(Closable Closing) {
+  auto Done = std::make_shared<std::promise<void>>();
+  std::future<void> Closed = Done->get_future();
+  std::thread([Done, Held = std::move(Closing)]() mutable {
+    { const Closable Ending = std::move(Held); }
+    Done->set_value();
+  }).detach();
+  if (Closed.wait_for(CloseTimeout) == std::future_status::timeout)
+    logEvent(LogLevel::Warning, "peer_close_timed_out", {});
+}
+
 /// Starts to connect; nng repeats it in the background until the link closes.
 std::optional<Link> connect(const PeerAddress &To) {
   Link Made{To, {}};
@@ -123,6 +142,7 @@
   void take(const PeerMessage &Message, const ConfigForwarded &Answer);
   std::optional<Instant> takeQuestion(std::uint64_t Nonce);
   void publishIfDue();
+  std::vector<Link> takeLinksBut(std::span<const PeerAddress> Peers);
 
   // The methods below need Lock.
   bool noteHeard(const PeerView &View, std::uint64_t Number);
@@ -182,23 +202,20 @@
     return;
   if (this->Receiver.joinable())
     this->Receiver.join();
-  this->In.close();
+  closeWithin(std::move(this->In));
   std::map<InstanceId, Link> Closing;
-  const std::lock_guard Guard(this->Lock);
-  std::swap(Closing, this->Links);
+  {
+    const std::lock_guard Guard(this->Lock);
+    std::swap(Closing, this->Links);
+  }
+  closeWithin(std::move(Closing));
 }
 
 void PeerExchange::Worker::setPeers(std::span<const PeerAddress> Peers) {
-  // Closed after the lock is free, since closing waits for the library.
-  std::vector<Link> Closing;
+  std::vector<Link> Closing = this->takeLinksBut(Peers);
+  if (!Closing.empty())
+    closeWithin(std::move(Closing));
   const std::lock_guard Guard(this->Lock);
-  for (auto At = this->Links.begin(); At != this->Links.end();) {
-    const bool Stays =
-        std::find(Peers.begin(), Peers.end(), At->second.To) != Peers.end();
-    if (!Stays)
-      Closing.push_back(std::move(At->second));
-    At = Stays ? std::next(At) : this->Links.erase(At);
-  }
   for (const PeerAddress &To : Peers) {
     if (To.Instance == this->Settings.Self ||
         this->Links.contains(To.Instance) || this->Stopping)
@@ -209,6 +226,21 @@
   }
 }
 
+/// Takes out the links that lead to none of \p Peers.
+std::vector<Link>
+PeerExchange::Worker::takeLinksBut(std::span<const PeerAddress> Peers) {
+  std::vector<Link> Taken;
+  const std::lock_guard Guard(this->Lock);
+  for (auto At = this->Links.begin(); At != this->Links.end();) {
+    const bool Stays =
+        std::find(Peers.begin(), Peers.end(), At->second.To) != Peers.end();
+    if (!Stays)
+      Taken.push_back(std::move(At->second));
+    At = Stays ? std::next(At) : this->Links.erase(At);
+  }
+  return Taken;
+}
+
 void PeerExchange::Worker::publish(LocalStatus Next) {
   const std::lock_guard Guard(this->Lock);
   Next.PeerPort = this->Port;
