--- a/bench/state_fold.cpp
+++ b/bench/state_fold.cpp
@@ -361,9 +361,9 @@
     const bool IsAsked =
         Count == 1 ||
         std::any_of(Arguments + 1, Arguments + Count,
-                    [&](const char *Asked) { return Section.Name == Asked; });
+                    [&](const char *Asked) { return Section.first == Asked; });
     if (IsAsked)
-      Section.Run();
+      Section.second();
   }
   return 0;
 }
--- a/src/pistachioflow/controller/config.cpp
+++ b/src/pistachioflow/controller/config.cpp
@@ -205,9 +205,9 @@
   const Instant Began = this->Time.monotonic();
   for (bool AtEnd = false; !AtEnd;) {
     Result<StreamBatch> Batch = readNew(*this->Log, this->Cursor);
-    Result<void> Folded = Batch.has_value()
-                              ? this->foldBatch(Batch.value())
-                              : Result<void>(std::move(Batch).error());
+    const Result<void> Folded = Batch.has_value()
+                                    ? this->foldBatch(Batch.value())
+                                    : Result<void>(Batch.error());
     if (Folded.has_error()) {
       const std::lock_guard Guard(this->Lock);
       this->Progress.LogReachable = false;
--- a/src/pistachioflow/policy/fold.cpp
+++ b/src/pistachioflow/policy/fold.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Duration EndedJobsKept{24 * 60 * 60 * 1'000};
+constexpr Duration EndedJobsKept{24LL * 60 * 60 * 1'000};
 constexpr std::size_t MaxEndedJobs = 4'096;
 constexpr std::size_t MaxFailedJobs = 8;
 
--- a/src/pistachioflow/policy/quarantine.cpp
+++ b/src/pistachioflow/policy/quarantine.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Duration FirstQuarantine{10 * 60 * 1'000};
+constexpr Duration FirstQuarantine{10LL * 60 * 1'000};
 constexpr std::uint32_t MaxDoublings = 6;
 
 /// At most one worker in this many is in quarantine, and always one may be.
--- a/src/pistachioflow/policy/queue_order.hpp
+++ b/src/pistachioflow/policy/queue_order.hpp
@@ -8,7 +8,7 @@
 
 /// The longest that later submissions can go ahead of a job of the same
 /// workspace because they are shorter.
-constexpr Duration MaxOvertaking{2 * 60 * 60 * 1'000};
+constexpr Duration MaxOvertaking{2LL * 60 * 60 * 1'000};
 
 /// Returns the place of a queued job among those of its workspace; the lower
 /// goes first. Short jobs go ahead of long ones, by at most MaxOvertaking. The
--- a/src/pistachioflow/policy/reclaim.cpp
+++ b/src/pistachioflow/policy/reclaim.cpp
@@ -77,8 +77,7 @@
                       lostWork(*Gang, Draft.Now), Gang->Spec.Job);
   };
   std::ranges::sort(Gangs, {}, Rank);
-  const auto Twice = std::ranges::unique(Gangs);
-  Gangs.erase(Twice.begin(), Twice.end());
+  Gangs.erase(std::unique(Gangs.begin(), Gangs.end()), Gangs.end());
   return Gangs;
 }
 
--- a/src/pistachioflow/policy/reservation.hpp
+++ b/src/pistachioflow/policy/reservation.hpp
@@ -6,7 +6,7 @@
 
 /// The longest that a job waits for its reserved workers before the smaller
 /// borrowers on them are reclaimed.
-constexpr Duration MaxReservedWait{60 * 60 * 1'000};
+constexpr Duration MaxReservedWait{60LL * 60 * 1'000};
 
 /// Keeps the workers of every reservation for its job.
 void keepReserved(Plan &Draft);
