--- a/src/pistachioflow/explain/timeline.cpp
+++ b/src/pistachioflow/explain/timeline.cpp
@@ -47,7 +47,8 @@
   Sequences Split;
   for (TimelineEvent &Event : Events) {
     const Instant Wall = Event.Wall;
-    Split[sourceOf(Event)].push_back({std::move(Event), Wall, false});
+    std::vector<PlacedEvent> &Sequence = Split[sourceOf(Event)];
+    Sequence.push_back({std::move(Event), Wall, false});
   }
   for (auto &[From, Sequence] : Split)
     std::stable_sort(Sequence.begin(), Sequence.end(),
