--- a/bench/capacity/measure_messages.cpp
+++ b/bench/capacity/measure_messages.cpp
@@ -6,9 +6,9 @@
 
 #include <httplib.h>
 
+#include "pistachioflow/clients/http_clients.hpp"
+#include "pistachioflow/clients/wire.hpp"
 #include "pistachioflow/peer/peer_message.hpp"
-#include "pistachioflow/platform/http_clients.hpp"
-#include "pistachioflow/platform/wire.hpp"
 
 namespace pistachioflow::capacity {
 
--- a/bench/platform_transport.cpp
+++ b/bench/platform_transport.cpp
@@ -4,8 +4,8 @@
 #include <string>
 #include <string_view>
 
-#include "pistachioflow/platform/http_clients.hpp"
-#include "pistachioflow/platform/wire.hpp"
+#include "pistachioflow/clients/http_clients.hpp"
+#include "pistachioflow/clients/wire.hpp"
 #include "pistachioflow/standin/server.hpp"
 
 // Weighs how records travel between the daemon and the platform's log, and
--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -5,12 +5,9 @@
 find_package(absl REQUIRED)
 find_package(msgpackc-cxx REQUIRED CONFIG NAMES msgpack)
 find_package(nlohmann_json REQUIRED)
-find_package(nng REQUIRED)
-find_package(OpenSSL REQUIRED)
-find_package(benchmark REQUIRED)
-find_package(Catch2 2 REQUIRED)
-pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+find_path(HTTP_PARSER_INCLUDE http_parser.h REQUIRED)
+find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
 
 add_library(pf_libs INTERFACE)
 target_compile_definitions(pf_libs INTERFACE ASIO_STANDALONE BOOST_LOG_DYN_LINK)
@@ -19,6 +16,20 @@
   nlohmann_json::nlohmann_json PkgConfig::XXHASH
   absl::flags absl::flags_parse absl::flags_usage)
 
+add_library(pf_http_parser INTERFACE)
+target_include_directories(pf_http_parser SYSTEM INTERFACE ${HTTP_PARSER_INCLUDE})
+target_link_libraries(pf_http_parser INTERFACE ${HTTP_PARSER_LIBRARY})
+
+if(PISTACHIOFLOW_DAEMON_ONLY)
+  return()
+endif()
+
+find_package(nng REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(benchmark REQUIRED)
+find_package(Catch2 2 REQUIRED)
+pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+
 add_library(pf_http INTERFACE)
 target_link_libraries(pf_http INTERFACE PkgConfig::HTTPLIB OpenSSL::SSL OpenSSL::Crypto)
 
--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -22,3 +22,5 @@
 if(CCACHE_PROGRAM)
   set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
 endif()
+
+option(PISTACHIOFLOW_DAEMON_ONLY "Build only what runs on the users' platform" OFF)
--- a/fuzz/bodies.cpp
+++ b/fuzz/bodies.cpp
@@ -2,8 +2,8 @@
 #include <cstdint>
 #include <string_view>
 
+#include "pistachioflow/clients/wire.hpp"
 #include "pistachioflow/codec/model_json.hpp"
-#include "pistachioflow/platform/wire.hpp"
 
 using namespace pistachioflow;
 
--- a/fuzz/pages.cpp
+++ b/fuzz/pages.cpp
@@ -2,7 +2,7 @@
 #include <cstdint>
 #include <string_view>
 
-#include "pistachioflow/platform/wire.hpp"
+#include "pistachioflow/clients/wire.hpp"
 
 using namespace pistachioflow;
 
--- a/include/pistachioflow/base/clock.hpp
+++ b/include/pistachioflow/base/clock.hpp
@@ -36,6 +36,9 @@
 constexpr Duration operator+(Duration Left, Duration Right) {
   return {Left.Ms + Right.Ms};
 }
+constexpr Duration operator-(Duration Left, Duration Right) {
+  return {Left.Ms - Right.Ms};
+}
 constexpr Duration operator*(Duration Left, std::int64_t Right) {
   return {Left.Ms * Right};
 }
--- a/include/pistachioflow/platform/http_clients.hpp
+++ b/include/pistachioflow/clients/http_clients.hpp
@@ -3,7 +3,7 @@
 #include <memory>
 
 #include "pistachioflow/base/metrics.hpp"
-#include "pistachioflow/platform/http_pool.hpp"
+#include "pistachioflow/clients/http_pool.hpp"
 #include "pistachioflow/port/instance_list.hpp"
 #include "pistachioflow/port/log_service.hpp"
 #include "pistachioflow/port/runner_gateway.hpp"
--- /dev/null
+++ b/include/pistachioflow/entry/instance.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <asio/io_context.hpp>
+
+#include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/platform/instance_settings.hpp"
+
+namespace pistachioflow {
+
+/// One entry instance: answers callers, follows the store, and can own the
+/// queues. Thread safety: none; use from the thread that runs the io_context.
+class Instance {
+public:
+  /// \p SettingsPath is read again on reload().
+  Instance(asio::io_context &Io, const Clock &Time, InstanceSettings Settings,
+           std::string SettingsPath);
+  ~Instance();
+
+  /// Listens and begins to follow the store. Returns false, with a log line,
+  /// when an address is taken.
+  bool start();
+
+  /// Reads the settings file again; an invalid one changes nothing.
+  void reload();
+
+  /// Hands over, finishes what callers have asked, and stops the io_context.
+  void shutDown();
+
+private:
+  struct Parts;
+  std::unique_ptr<Parts> Held;
+};
+
+} // namespace pistachioflow
--- /dev/null
+++ b/include/pistachioflow/entry/planning.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/entry/worker_link.hpp"
+#include "pistachioflow/sched/desired_state.hpp"
+#include "pistachioflow/sched/job_table.hpp"
+#include "pistachioflow/sched/placement.hpp"
+
+namespace pistachioflow {
+
+using WorkerLinks = std::map<std::string, std::shared_ptr<WorkerLink>>;
+
+/// How actual run times compare with estimates, for each queue.
+/// Thread safety: none.
+class DurationModel {
+public:
+  /// Learns from a run that ended as done without a checkpoint.
+  void learn(const std::string &Queue, std::int64_t EstimatedMs,
+             std::int64_t ActualMs);
+
+  /// How long a task of a step will probably run.
+  std::int64_t expectedMs(const std::string &Queue,
+                          std::int64_t EstimatedMs) const;
+
+private:
+  struct Ratio {
+    double Value = 1.0;
+    std::int64_t Samples = 0;
+  };
+  std::map<std::string, Ratio> Ratios;
+};
+
+/// Everything a round of placement looks at.
+struct PlanningView {
+  JobTable &Table;
+  const WorkerLinks &Workers;
+  const DesiredState &Desired;
+  const DurationModel &Durations;
+  Instant Now;
+};
+
+/// A decision in terms of the table.
+struct UnitPlacement {
+  Unit *Of = nullptr;
+  std::vector<PlaceRecord> Places;
+};
+
+struct PlanningResult {
+  std::vector<UnitPlacement> Starts;
+  std::vector<Unit *> Preempted;
+  std::size_t Waiting = 0;
+};
+
+/// Ranks what waits, and places it. Changes nothing. Thread safety: none.
+PlanningResult planRound(const PlanningView &View);
+
+/// The terms in force for a job: its queue's, or those it was accepted under.
+const QueueTerms &termsOf(const DesiredState &Desired, const Job &Of);
+
+} // namespace pistachioflow
--- /dev/null
+++ b/include/pistachioflow/entry/topic_follower.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+
+#include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/entry/pause.hpp"
+#include "pistachioflow/platform/store_client.hpp"
+
+namespace pistachioflow {
+
+/// What a follower tells about its topic.
+struct TopicObserver {
+  std::function<void()> Reset; ///< What was applied before is void.
+  std::function<void(const JournalRecord &)> Apply;
+  std::function<void()> CaughtUp; ///< Everything up to the end was applied.
+};
+
+/// Follows one keyed topic: first the newest record of each key, then each
+/// record as it is appended. Begins anew when records it needs are gone.
+///
+/// Thread safety: none; use from the thread that runs the io_context.
+class TopicFollower {
+public:
+  /// \p Pace is the pause between two reads, so that one read brings several
+  /// records.
+  TopicFollower(asio::io_context &Io, StoreClient &Store, const Clock &Time,
+                std::string Topic, TopicObserver Observer, Duration Pace);
+
+  /// Runs until stop(). Start it once, with co_spawn.
+  asio::awaitable<void> run();
+
+  /// Ends run() after the read in progress.
+  void stop();
+
+  /// Begins anew with the newest record of each key.
+  void reload();
+
+  void setPace(Duration Changed) { this->Pace = Changed; }
+
+  /// Whether everything that the topic held at the last contact was applied.
+  bool caughtUp() const { return this->CaughtUpNow; }
+  /// When a read that brought everything was sent last: all that was
+  /// acknowledged before then has been applied.
+  Instant freshAt() const { return this->FreshAt; }
+  /// When the store answered a read last.
+  Instant lastContact() const { return this->LastContact; }
+  /// Offset of the next record.
+  std::int64_t position() const { return this->Next; }
+
+  /// Waits until everything acknowledged before the call was applied, or up to
+  /// \p Longest. Returns whether it was.
+  asio::awaitable<bool> refresh(Duration Longest);
+
+private:
+  asio::awaitable<bool> load();
+  asio::awaitable<void> readOnce();
+  void contactLost(std::string_view Reason);
+  void contactMade(Instant SentAt);
+
+  asio::io_context &Io;
+  StoreClient &Store;
+  const Clock &Time;
+  std::string Topic;
+  TopicObserver Observer;
+  Duration Pace;
+  Signal Applied;
+  std::int64_t Next = 0;
+  std::int64_t LoadedUpTo = 0; ///< Records before it may be out of order.
+  Instant FreshAt;
+  Instant LastContact;
+  bool Loaded = false;
+  bool CaughtUpNow = false;
+  bool Stopped = false;
+  bool Lost = false;
+};
+
+} // namespace pistachioflow
--- /dev/null
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/entry/pause.hpp"
+#include "pistachioflow/platform/worker_client.hpp"
+#include "pistachioflow/sched/worker.hpp"
+
+namespace pistachioflow {
+
+/// What the owner knows of one worker during its tenure.
+struct WorkerLink {
+  WorkerLink(asio::io_context &Io, std::string WorkerId)
+      : Id(std::move(WorkerId)), Wake(Io) {}
+
+  std::string Id;
+  WorkerEntry Entry;
+  std::shared_ptr<WorkerClient> Client; ///< Of the entry's address.
+  bool Listed = false;     ///< The list of workers holds a valid entry.
+  bool Synced = false;     ///< It answered a hold of this epoch in this life.
+  bool Looping = false;    ///< A hold loop runs.
+  bool CatchingUp = false; ///< It may hold runs that must be stopped.
+  std::int64_t BornWallMs = 0;
+  std::int64_t ClockOffsetMs = 0; ///< Its clock less this process's.
+  Instant LeaseEnds;   ///< Nothing runs there after this without a renewal.
+  Instant SilentSince; ///< 0 while it answers.
+  std::int64_t EndsSeen = 0;         ///< Highest end that was applied.
+  std::int64_t EndsRecorded = 0;     ///< Highest end whose records are stored.
+  std::int64_t EndsAcknowledged = 0; ///< Highest end it was told to forget.
+  Instant DoubtedUntil;
+  std::int64_t FailureStreak = 0;
+  Signal Wake; ///< Notified when EndsRecorded grows.
+
+  /// Its clock at \p Now.
+  std::int64_t clockAt(Instant Now) const {
+    return Now.Ms + this->ClockOffsetMs;
+  }
+};
+
+/// Returns the rack among a worker's labels: the last one, after its kind.
+inline std::string rackOf(const WorkerEntry &Entry) {
+  return Entry.Labels.empty() ? std::string() : Entry.Labels.back();
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/include/pistachioflow/net/http_client.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/net/http_message.hpp"
+
+namespace pistachioflow {
+
+/// What is known of a call once it is over.
+enum class CallOutcome {
+  Answered, ///< A complete response was read.
+  NotSent,  ///< No connection: the peer has surely not seen the request.
+  NoAnswer, ///< Sent without a response: the peer may have executed it.
+};
+
+struct CallResult {
+  CallOutcome Outcome = CallOutcome::NotSent;
+  HttpResponse Response;
+};
+
+/// Calls one peer over kept-alive connections, one call at a time on each.
+///
+/// Thread safety: none; use from the thread that runs the io_context. The
+/// client must outlive its calls.
+class HttpClient {
+public:
+  HttpClient(asio::io_context &Io, asio::ip::tcp::endpoint Peer);
+  ~HttpClient();
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+
+  /// Sends \p Request and waits up to \p Timeout for the whole response.
+  asio::awaitable<CallResult> call(HttpRequest Request, Duration Timeout);
+
+  const std::string &peerName() const { return this->PeerName; }
+
+private:
+  struct Connection;
+
+  std::shared_ptr<Connection> takeIdle();
+  asio::awaitable<bool> exchange(Connection &Line, const std::string &Text,
+                                 HttpResponse &Response);
+
+  asio::io_context &Io;
+  asio::ip::tcp::endpoint Peer;
+  std::string PeerName;
+  std::vector<std::shared_ptr<Connection>> Idle;
+};
+
+/// Parses "a.b.c.d:port". Returns an endpoint with port 0 when malformed.
+asio::ip::tcp::endpoint parseEndpoint(std::string_view Text);
+
+} // namespace pistachioflow
--- /dev/null
+++ b/include/pistachioflow/platform/desired_state_codec.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string_view>
+
+#include "pistachioflow/base/result.hpp"
+#include "pistachioflow/sched/desired_state.hpp"
+
+namespace pistachioflow {
+
+/// Decodes the operators' configuration as the store holds it.
+/// Errors: InvalidInput with every finding.
+Result<DesiredState> decodeDesiredState(std::string_view Text);
+
+} // namespace pistachioflow
--- /dev/null
+++ b/include/pistachioflow/sched/placement.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/sched/job_spec.hpp"
+
+namespace pistachioflow {
+
+/// One worker as the placement sees it.
+struct WorkerRoom {
+  std::string Id;
+  std::string Service;
+  std::string Rack;
+  std::vector<std::string> Labels;
+  Demand Capacity;
+  Demand Free; ///< Now.
+  Demand Soon; ///< Once everything that is being stopped has ended.
+  bool Usable = true;
+  /// Doubted workers are used only where no other has room.
+  bool Doubted = false;
+};
+
+/// A unit that waits for a place.
+struct WaitingUnit {
+  std::string Service;
+  std::string Workspace;
+  std::int64_t Priority = 0;
+  const StepSpec *Step = nullptr;
+  std::int64_t TaskCount = 1;
+  const std::set<std::string, std::less<>> *Avoided = nullptr;
+  /// Workers that already hold tasks of a step with a limit for each worker.
+  std::vector<std::string> SameStepOn;
+  bool WithinGuarantee = false;
+  std::int64_t ExpectedMs = 0; ///< How long it will probably run.
+  bool MayReserve = false;     ///< Kept from starving by a reservation.
+};
+
+/// A unit that has a place.
+struct PlacedUnit {
+  std::string Workspace;
+  std::int64_t Priority = 0;
+  Demand Each;
+  std::vector<std::size_t> Rooms; ///< Indices of its members' workers.
+  bool Stopping = false;
+  bool BeyondGuarantee = false; ///< Its workspace uses more than its guarantee.
+  double LostWork = 0;          ///< Core-seconds that a stop would throw away.
+  std::int64_t RemainingMs = 0; ///< Probable time to its end.
+};
+
+/// A unit's place: one room for each of its tasks, in the order of the tasks.
+struct PlannedStart {
+  std::size_t Unit = 0;
+  std::vector<std::size_t> Rooms;
+};
+
+/// What one round of placement decided.
+struct PlacementPlan {
+  std::vector<PlannedStart> Starts;
+  std::vector<std::size_t> Preempted; ///< Indices of placed units.
+  std::vector<std::size_t> Blocked;   ///< Indices of waiting units.
+};
+
+/// Decides which of \p Waiting, in their order, start where, and which of
+/// \p Placed give way.
+///
+/// Load pattern: more work than room, in bursts. A unit that must wait for
+/// stops keeps its room from everything behind it, so that work of lower
+/// priority cannot slip in between; a unit of the highest priority takes room
+/// from lower priorities, and within its guarantee also from workspaces beyond
+/// theirs, where the least work is lost. Thread safety: pure.
+PlacementPlan planPlacement(std::span<WorkerRoom> Rooms,
+                            std::span<const WaitingUnit> Waiting,
+                            std::span<const PlacedUnit> Placed);
+
+/// How many tasks of \p Each fit into \p Room.
+std::int64_t fittingTasks(const Demand &Room, const Demand &Each);
+
+Demand operator+(Demand Left, const Demand &Right);
+Demand operator-(Demand Left, const Demand &Right);
+
+} // namespace pistachioflow
--- /dev/null
+++ b/include/pistachioflow/sched/records.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "pistachioflow/sched/job_spec.hpp"
+
+namespace pistachioflow {
+
+/// The kinds of records in the journal. The letter begins the record's key.
+enum class RecordKind : char {
+  Submission = 'j',   ///< A job that was accepted.
+  Cancellation = 'c', ///< A caller's wish that a job ends.
+  JobPhase = 's',     ///< What the owner says of a whole job.
+  Unit = 'u',         ///< Where a task or gang may run.
+  Ownership = 'o',    ///< Who owns the queues; its heartbeat.
+};
+
+/// One record of the keyed journal. Without a value its key is dropped.
+struct JournalRecord {
+  std::string Key;
+  std::string Value;
+};
+
+/// A job as it was accepted.
+struct SubmissionRecord {
+  std::string Queue;     ///< Name of the route.
+  std::string Workspace; ///< Owner of the key that submitted it.
+  std::int64_t AcceptedWallMs = 0;
+  QueueTerms Terms;
+  JobSpec Job;
+
+  MSGPACK_DEFINE(Queue, Workspace, AcceptedWallMs, Terms, Job)
+};
+
+struct CancellationRecord {
+  std::int64_t WallMs = 0;
+
+  MSGPACK_DEFINE(WallMs)
+};
+
+/// How far a job is.
+enum class JobPhase { Queued, Running, Completed, Failed, Cancelled };
+
+/// Returns whether a job in this phase has ended.
+bool hasEnded(JobPhase Phase);
+
+/// Returns the name used in logs.
+std::string_view toString(JobPhase Phase);
+
+struct JobPhaseRecord {
+  JobPhase Phase = JobPhase::Queued;
+  std::int64_t EndedWallMs = 0;
+
+  MSGPACK_DEFINE(Phase, EndedWallMs)
+};
+
+/// One member's place: the worker and the start of its life, which tells two
+/// lives under one id apart.
+struct PlaceRecord {
+  std::string Worker;
+  std::int64_t BornWallMs = 0;
+
+  MSGPACK_DEFINE(Worker, BornWallMs)
+};
+
+/// A single task or a gang: its newest run and what is kept across runs.
+struct UnitRecord {
+  std::int64_t Run = 0; ///< Number of the newest start.
+  bool Done = false;
+  std::int64_t Failures = 0;
+  std::string Checkpoint;
+  std::vector<PlaceRecord> Places; ///< Empty: surely runs nowhere.
+
+  MSGPACK_DEFINE(Run, Done, Failures, Checkpoint, Places)
+};
+
+struct OwnershipRecord {
+  std::int64_t Epoch = 0;
+  std::string Instance;
+  std::int64_t Heartbeat = 0; ///< Counts the owner's heartbeats.
+  bool Resigned = false;
+
+  MSGPACK_DEFINE(Epoch, Instance, Heartbeat, Resigned)
+};
+
+std::string submissionKey(std::string_view JobId);
+std::string cancellationKey(std::string_view JobId);
+std::string phaseKey(std::string_view JobId);
+std::string unitKey(std::string_view UnitName);
+std::string ownershipKey();
+
+/// Encodes a record's value. The first byte is the layout's version.
+template <typename Record> std::string encodeRecord(const Record &Value);
+
+/// Decodes a value; empty when it is malformed or of an unknown version.
+template <typename Record>
+std::optional<Record> decodeRecord(std::string_view Value);
+
+} // namespace pistachioflow
+
+MSGPACK_ADD_ENUM(pistachioflow::JobPhase)
--- /dev/null
+++ b/include/pistachioflow/sched/worker.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "pistachioflow/sched/job_spec.hpp"
+
+namespace pistachioflow {
+
+/// What a worker says of itself in the list of workers.
+struct WorkerEntry {
+  std::string Service;
+  std::string Address;
+  std::string FailureDomain;
+  bool Draining = false;
+  std::int64_t RemainingMs = 0; ///< While draining: at least this long is left.
+  Demand Capacity;
+  std::vector<std::string> Labels; ///< Its kind and its rack.
+  std::int64_t ClockMs = 0;        ///< The worker's own steady clock.
+  std::int64_t BornWallMs = 0;     ///< Start of this life under the same id.
+};
+
+/// One run that a worker reports as present.
+struct RunningTask {
+  std::string Task;
+  std::int64_t Run = 0;
+  std::string Checkpoint;
+  std::int64_t SpeedPercent = 100;
+  std::int64_t CpuMilli = -1; ///< Processor time in use; -1: not reported.
+};
+
+/// How a run ended.
+enum class RunEnd {
+  Done,
+  Failed,  ///< By the task's own fault or the worker's.
+  Stopped, ///< On an order.
+  Lapsed,  ///< Its lease ran out.
+  Broken,  ///< Another member of the gang ended.
+  Alone,   ///< The other members did not come in time.
+  Unknown, ///< A word that this version does not know.
+};
+
+/// One end in a worker's list.
+struct EndedRun {
+  std::int64_t Number = 0; ///< Counts the ends of this life, from 1.
+  std::string Task;
+  std::int64_t Run = 0;
+  RunEnd How = RunEnd::Unknown;
+  std::string Checkpoint;
+};
+
+/// A worker's answer to a look at it.
+struct WorkerReport {
+  std::int64_t ClockMs = 0;
+  std::int64_t BornWallMs = 0; ///< 0 where the worker does not say.
+  std::vector<RunningTask> Running;
+  std::vector<EndedRun> Ended;
+};
+
+} // namespace pistachioflow
--- a/include/pistachioflow/standin/runner_park.hpp
+++ b/include/pistachioflow/standin/runner_park.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "pistachioflow/base/clock.hpp"
-#include "pistachioflow/platform/wire.hpp"
+#include "pistachioflow/clients/wire.hpp"
 
 namespace pistachioflow::standin {
 
--- a/src/pistachioflow/base/log.cpp
+++ b/src/pistachioflow/base/log.cpp
@@ -78,7 +78,7 @@
            << "time="
            << logging::expressions::format_date_time<boost::posix_time::ptime>(
                   "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-           << " instance=" << InstanceName << " "
+           << " instance=" << std::string(InstanceName) << " "
            << logging::expressions::smessage),
       logging::keywords::auto_flush = true);
   logging::core::get()->set_filter(
--- a/src/pistachioflow/platform/http_pool.cpp
+++ b/src/pistachioflow/clients/http_pool.cpp
@@ -1,4 +1,4 @@
-#include "pistachioflow/platform/http_pool.hpp"
+#include "pistachioflow/clients/http_pool.hpp"
 
 #include <algorithm>
 #include <cctype>
--- a/src/pistachioflow/platform/log_client.cpp
+++ b/src/pistachioflow/clients/log_client.cpp
@@ -1,7 +1,7 @@
 #include <string>
 
-#include "pistachioflow/platform/http_clients.hpp"
-#include "pistachioflow/platform/wire.hpp"
+#include "pistachioflow/clients/http_clients.hpp"
+#include "pistachioflow/clients/wire.hpp"
 
 namespace pistachioflow {
 
--- a/src/pistachioflow/platform/port_names.cpp
+++ b/src/pistachioflow/clients/port_names.cpp
@@ -1,6 +1,6 @@
 #include <array>
 
-#include "pistachioflow/platform/wire.hpp"
+#include "pistachioflow/clients/wire.hpp"
 
 namespace pistachioflow {
 
--- a/src/pistachioflow/platform/runner_client.cpp
+++ b/src/pistachioflow/clients/runner_client.cpp
@@ -1,8 +1,8 @@
 #include <string>
 #include <utility>
 
-#include "pistachioflow/platform/http_clients.hpp"
-#include "pistachioflow/platform/wire.hpp"
+#include "pistachioflow/clients/http_clients.hpp"
+#include "pistachioflow/clients/wire.hpp"
 
 namespace pistachioflow {
 
--- a/src/pistachioflow/platform/wire.cpp
+++ b/src/pistachioflow/clients/wire.cpp
@@ -1,4 +1,4 @@
-#include "pistachioflow/platform/wire.hpp"
+#include "pistachioflow/clients/wire.hpp"
 
 #include <msgpack.hpp>
 
--- a/src/pistachioflow/daemon/platform_ports.hpp
+++ b/src/pistachioflow/daemon/platform_ports.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "pistachioflow/base/metrics.hpp"
+#include "pistachioflow/clients/http_clients.hpp"
 #include "pistachioflow/codec/settings.hpp"
-#include "pistachioflow/platform/http_clients.hpp"
 
 namespace pistachioflow {
 
--- /dev/null
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -0,0 +1,630 @@
+#include "pistachioflow/entry/dispatcher.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+
+#include "pistachioflow/base/log.hpp"
+
+namespace pistachioflow {
+
+namespace {
+
+/// Events within this time are decided on together.
+constexpr Duration TurnDelay{1};
+/// Due occurrences, drained workers and expired jobs are looked for this often.
+constexpr Duration TickPeriod{100};
+/// A worker answers a hold at once when a run ends; otherwise the lease is
+/// renewed this often, a few times within its length.
+constexpr Duration HoldWait{1'500};
+constexpr Duration HoldSlack{1'000};
+/// Orders are answered within a few milliseconds.
+constexpr Duration OrderTimeout{700};
+constexpr Duration OrderRetryPause{50};
+constexpr int StartAttempts = 3;
+/// A start is followed by a hold, which renews its lease, well within this.
+constexpr Duration StartLease{3'000};
+/// Workers' clocks may be 2% slow.
+constexpr std::int64_t SlowClockPercent = 102;
+constexpr std::int64_t WholePercent = 100;
+constexpr Duration LeaseMargin{300};
+constexpr Duration HoldRetryPause{150};
+constexpr Duration PauseAfterRefusal{100};
+constexpr Duration DoubtAfterRefusal{500};
+/// Doubt after a failed run doubles with each further failure up to a limit.
+constexpr Duration DoubtAfterFailure{1'000};
+constexpr std::int64_t LongestDoubtDoublings = 4;
+/// Workers' entries change every heartbeat; reading them together saves calls.
+constexpr Duration WorkerListPace{200};
+constexpr WritePatience OwnerPatience{{3'600'000}, {3'600'000}};
+/// Ended jobs are kept this much longer than callers may ask for them.
+constexpr Duration RetentionMargin{60'000};
+
+} // namespace
+
+/// Everything that belongs to one time as the owner.
+struct Dispatcher::Tenure {
+  std::int64_t Epoch = 0;
+  bool Active = true;
+  bool Loading = true;
+  bool Flushing = false;
+  std::shared_ptr<JournalWriter> Writer;
+  JobTable Table;
+  WorkerLinks Workers;
+  std::map<std::string, std::string> Loaded; ///< Newest value of each key.
+  std::set<std::pair<std::string, std::int64_t>> Stopping;
+  std::shared_ptr<TopicFollower> WorkerList;
+  Instant BegunAt;
+};
+
+Dispatcher::Dispatcher(asio::io_context &Io, StoreClient &Store,
+                       const Clock &Time, const InstanceSettings &Settings,
+                       const DesiredState &Desired,
+                       std::function<void(std::string_view Reason)> Fenced)
+    : Io(Io), Store(Store), Time(Time), Settings(Settings), Desired(Desired),
+      Fenced(std::move(Fenced)), TurnTimer(Io) {}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::begin(std::int64_t Epoch,
+                       std::shared_ptr<JournalWriter> Writer) {
+  this->end();
+  this->Current = std::make_shared<Tenure>();
+  this->Current->Epoch = Epoch;
+  this->Current->Writer = std::move(Writer);
+  this->Current->BegunAt = this->Time.monotonic();
+  logEvent(LogLevel::Info, "ownership_gained", {{"epoch", Epoch}});
+}
+
+void Dispatcher::end() {
+  if (!this->Current)
+    return;
+  this->Current->Active = false;
+  if (this->Current->WorkerList)
+    this->Current->WorkerList->stop();
+  this->Current.reset();
+}
+
+void Dispatcher::journalReset() {
+  if (this->Current && this->Current->Loading)
+    this->Current->Loaded.clear();
+}
+
+void Dispatcher::apply(const JournalRecord &Record) {
+  if (!this->Current)
+    return;
+  Tenure &Of = *this->Current;
+  if (Of.Loading) {
+    if (Record.Value.empty())
+      Of.Loaded.erase(Record.Key);
+    else
+      Of.Loaded[Record.Key] = Record.Value;
+    return;
+  }
+  constexpr std::size_t PrefixSize = 2;
+  if (Record.Key.size() <= PrefixSize || Record.Value.empty())
+    return;
+  const std::string_view Id = std::string_view(Record.Key).substr(PrefixSize);
+  const Instant Now = this->Time.monotonic();
+  const std::int64_t WallMs = this->Time.wall().Ms;
+  const auto Kind = static_cast<RecordKind>(Record.Key.front());
+  if (Kind == RecordKind::Submission) {
+    if (auto Read = decodeRecord<SubmissionRecord>(Record.Value))
+      Of.Table.addSubmission(Id, std::move(*Read), Now, WallMs);
+    this->requestTurn();
+  }
+  if (Kind == RecordKind::Cancellation) {
+    Of.Table.addCancellation(Id, WallMs, Now);
+    this->requestTurn();
+  }
+}
+
+void Dispatcher::buildTable(Tenure &Of) {
+  constexpr std::size_t PrefixSize = 2;
+  // Later kinds refer to earlier ones.
+  constexpr std::array Order{RecordKind::Submission, RecordKind::JobPhase,
+                             RecordKind::Unit, RecordKind::Cancellation};
+  const Instant Now = this->Time.monotonic();
+  const std::int64_t WallMs = this->Time.wall().Ms;
+  for (const RecordKind Kind : Order) {
+    const std::string Prefix{static_cast<char>(Kind), '/'};
+    for (auto Entry = Of.Loaded.lower_bound(Prefix);
+         Entry != Of.Loaded.end() && Entry->first.starts_with(Prefix);
+         ++Entry) {
+      const auto Name = std::string_view(Entry->first).substr(PrefixSize);
+      const std::string &Value = Entry->second;
+      if (Kind == RecordKind::Submission) {
+        if (auto Read = decodeRecord<SubmissionRecord>(Value))
+          Of.Table.addSubmission(Name, std::move(*Read), Now, WallMs);
+      } else if (Kind == RecordKind::JobPhase) {
+        if (const auto Read = decodeRecord<JobPhaseRecord>(Value))
+          Of.Table.restorePhase(Name, *Read);
+      } else if (Kind == RecordKind::Unit) {
+        if (const auto Read = decodeRecord<UnitRecord>(Value))
+          Of.Table.restoreUnit(Name, *Read, Now);
+      } else {
+        Of.Table.addCancellation(Name, WallMs, Now);
+      }
+    }
+  }
+  logEvent(LogLevel::Info, "state_loaded",
+           {{"epoch", Of.Epoch},
+            {"records", static_cast<std::int64_t>(Of.Loaded.size())},
+            {"jobs", static_cast<std::int64_t>(Of.Table.jobs().size())},
+            {"ms", (Now - Of.BegunAt).Ms}});
+  Of.Loaded.clear();
+}
+
+void Dispatcher::journalCaughtUp() {
+  if (!this->Current || !this->Current->Loading)
+    return;
+  Tenure &Of = *this->Current;
+  Of.Loading = false;
+  this->buildTable(Of);
+  TopicObserver Observer;
+  const std::weak_ptr<Tenure> Weak = this->Current;
+  Observer.Reset = [this, Weak] {
+    if (Weak.lock())
+      this->workersReset();
+  };
+  Observer.Apply = [this, Weak](const JournalRecord &Record) {
+    if (Weak.lock())
+      this->workerListed(Record);
+  };
+  Observer.CaughtUp = [this] { this->requestTurn(); };
+  Of.WorkerList = std::make_shared<TopicFollower>(
+      this->Io, this->Store, this->Time, std::string(WorkerTopic),
+      std::move(Observer), WorkerListPace);
+  asio::co_spawn(
+      this->Io,
+      [](std::shared_ptr<TopicFollower> List) -> asio::awaitable<void> {
+        co_await List->run();
+      }(Of.WorkerList),
+      asio::detached);
+  // Members of earlier owners may be on workers that are no longer listed.
+  const Instant LeaseEnds =
+      this->Time.monotonic() +
+      Duration{this->Settings.MaxLease.Ms * SlowClockPercent / WholePercent} +
+      LeaseMargin;
+  for (const Unit *Of2 : Of.Table.active())
+    for (const Member &At : Of2->Members) {
+      Link &Worker = Of.Workers[At.Worker];
+      if (!Worker)
+        Worker = std::make_shared<WorkerLink>(this->Io, At.Worker);
+      Worker->LeaseEnds = LeaseEnds;
+      Worker->SilentSince = this->Time.monotonic();
+    }
+  asio::co_spawn(this->Io, this->tick(this->Current), asio::detached);
+  this->requestTurn();
+}
+
+void Dispatcher::workersReset() {
+  for (auto &[Id, Worker] : this->Current->Workers)
+    Worker->Listed = false;
+}
+
+void Dispatcher::workerListed(const JournalRecord &Record) {
+  Tenure &Of = *this->Current;
+  std::optional<WorkerEntry> Entry;
+  if (!Record.Value.empty())
+    Entry = decodeWorkerEntry(Record.Value);
+  const auto Known = Of.Workers.find(Record.Key);
+  if (!Entry) {
+    if (Known != Of.Workers.end() && Known->second->Listed) {
+      Known->second->Listed = false;
+      logEvent(LogLevel::Info, "worker_unlisted",
+               {{"worker", Record.Key},
+                {"reason", Record.Value.empty() ? "removed" : "malformed"}});
+    }
+    return;
+  }
+  Link &Worker = Of.Workers[Record.Key];
+  if (!Worker)
+    Worker = std::make_shared<WorkerLink>(this->Io, Record.Key);
+  const bool NewAddress =
+      !Worker->Client || Worker->Entry.Address != Entry->Address;
+  if (NewAddress)
+    Worker->Client =
+        std::make_shared<WorkerClient>(this->Io, Record.Key, Entry->Address);
+  const bool NewLife = Worker->Listed && Entry->BornWallMs > 0 &&
+                       Entry->BornWallMs != Worker->BornWallMs;
+  if (NewAddress || NewLife)
+    Worker->Synced = false;
+  if (Entry->Draining && !Worker->Entry.Draining)
+    logEvent(LogLevel::Info, "worker_draining",
+             {{"worker", Record.Key}, {"remaining_ms", Entry->RemainingMs}});
+  Worker->Entry = std::move(*Entry);
+  Worker->Listed = true;
+  this->ensureHolding(this->Current, Worker);
+}
+
+void Dispatcher::requestTurn() {
+  if (this->TurnRequested || !this->Current || this->Current->Loading)
+    return;
+  this->TurnRequested = true;
+  this->TurnTimer.expires_after(std::chrono::milliseconds(TurnDelay.Ms));
+  this->TurnTimer.async_wait([this](asio::error_code Cancelled) {
+    this->TurnRequested = false;
+    if (!Cancelled && this->Current && !this->Current->Loading)
+      this->turn();
+  });
+}
+
+void Dispatcher::turn() {
+  const Held Of = this->Current;
+  Of->Table.unlock(this->Time.monotonic(), this->Time.wall().Ms);
+  this->moveFromDraining(*Of);
+  this->place(*Of);
+  this->sendStops(Of);
+  this->logEvents(*Of);
+  if (!Of->Flushing)
+    asio::co_spawn(this->Io, this->flush(Of), asio::detached);
+}
+
+void Dispatcher::place(Tenure &Of) {
+  const Instant Now = this->Time.monotonic();
+  const PlanningResult Plan =
+      planRound({Of.Table, Of.Workers, this->Desired, this->Durations, Now});
+  for (const UnitPlacement &Start : Plan.Starts)
+    Of.Table.place(*Start.Of, Start.Places, Now);
+  for (Unit *Victim : Plan.Preempted)
+    Of.Table.preempt(*Victim, Now);
+}
+
+/// Ends runs that would not end before their worker leaves, so that they go on
+/// elsewhere sooner.
+void Dispatcher::moveFromDraining(Tenure &Of) {
+  const Instant Now = this->Time.monotonic();
+  for (auto &[Id, Worker] : Of.Workers) {
+    if (!Worker->Listed || !Worker->Entry.Draining)
+      continue;
+    const auto Members = Of.Table.membersOn(Id);
+    const std::vector<MemberRef> Held(Members.begin(), Members.end());
+    for (const MemberRef &Ref : Held) {
+      const bool StillThere = Ref.Index < Ref.Of->Members.size() &&
+                              Ref.member().Phase == MemberPhase::Running &&
+                              !Ref.Of->Done && !Ref.member().StopWanted;
+      if (!StillThere)
+        continue;
+      const std::int64_t ExpectedMs = this->Durations.expectedMs(
+          Ref.Of->Owner->Submission.Queue, Ref.Of->spec().EstimatedMs);
+      const std::int64_t LeftMs = ExpectedMs - (Now - Ref.Of->PlacedAt).Ms;
+      if (LeftMs > Worker->Entry.RemainingMs)
+        Of.Table.preempt(*Ref.Of, Now);
+    }
+  }
+}
+
+void Dispatcher::sendStops(const Held &Of) {
+  for (Unit *Entry : Of->Table.active())
+    for (std::size_t Index = 0; Index < Entry->Members.size(); ++Index) {
+      const Member &At = Entry->Members[Index];
+      const bool Stoppable = At.StopWanted && At.StopAcked.Ms == 0 &&
+                             (At.Phase == MemberPhase::Running ||
+                              At.Phase == MemberPhase::Adopted);
+      const auto Worker = Of->Workers.find(At.Worker);
+      if (Stoppable && Worker != Of->Workers.end())
+        asio::co_spawn(this->Io,
+                       this->stopTask(Of, Worker->second,
+                                      Entry->taskName(Index), Entry->Run),
+                       asio::detached);
+    }
+}
+
+asio::awaitable<void> Dispatcher::tick(Held Of) {
+  while (Of->Active) {
+    co_await pauseFor(this->Io, TickPeriod);
+    if (!Of->Active)
+      co_return;
+    for (auto Entry = Of->Workers.begin(); Entry != Of->Workers.end();) {
+      const Link Worker = Entry->second;
+      const bool Empty = Of->Table.membersOn(Entry->first).empty();
+      if (!Worker->Listed && Empty && !Worker->Looping) {
+        Entry = Of->Workers.erase(Entry);
+        continue;
+      }
+      this->ensureHolding(Of, Worker);
+      ++Entry;
+    }
+    Of->Table.expire(this->Time.wall().Ms - this->Settings.StatusRetention.Ms -
+                     RetentionMargin.Ms);
+    this->requestTurn();
+  }
+}
+
+asio::awaitable<void> Dispatcher::flush(Held Of) {
+  Of->Flushing = true;
+  std::vector<JournalRecord> Records = Of->Table.takeRecords();
+  struct Starting {
+    Unit *Of;
+    std::int64_t Run;
+  };
+  std::vector<Starting> Starts;
+  for (Unit *Entry : Of->Table.active())
+    for (const Member &At : Entry->Members)
+      if (At.Phase == MemberPhase::Recorded) {
+        Starts.push_back({Entry, Entry->Run});
+        break;
+      }
+  std::vector<std::pair<Link, std::int64_t>> Ends;
+  for (auto &[Id, Worker] : Of->Workers)
+    if (Worker->EndsSeen > Worker->EndsRecorded)
+      Ends.emplace_back(Worker, Worker->EndsSeen);
+  WriteOutcome Outcome = WriteOutcome::Stored;
+  if (!Records.empty())
+    Outcome = co_await Of->Writer->write(std::move(Records), OwnerPatience);
+  Of->Flushing = false;
+  if (!Of->Active)
+    co_return;
+  if (Outcome != WriteOutcome::Stored) {
+    this->Fenced("store");
+    co_return;
+  }
+  for (auto &[Worker, Number] : Ends) {
+    Worker->EndsRecorded = std::max(Worker->EndsRecorded, Number);
+    Worker->Wake.notify();
+    this->ensureHolding(Of, Worker);
+  }
+  for (const Starting &Entry : Starts) {
+    if (Entry.Of->Run != Entry.Run)
+      continue;
+    for (std::size_t Index = 0; Index < Entry.Of->Members.size(); ++Index)
+      if (Entry.Of->Members[Index].Phase == MemberPhase::Recorded)
+        asio::co_spawn(this->Io,
+                       this->startMember(Of, Entry.Of, Index, Entry.Run),
+                       asio::detached);
+  }
+  if (Of->Table.dirty())
+    this->requestTurn();
+}
+
+asio::awaitable<void> Dispatcher::startMember(Held Of, Unit *Starting,
+                                              std::size_t Index,
+                                              std::int64_t Run) {
+  if (!Of->Table.markSent({Starting, Index}, Run, this->Time.monotonic()))
+    co_return;
+  const std::string Task = Starting->taskName(Index);
+  const std::string WorkerId = Starting->Members[Index].Worker;
+  const Link Worker = Of->Workers.at(WorkerId);
+  StartOrder Order;
+  Order.Task = Task;
+  Order.Run = Run;
+  Order.Payload = Starting->Owner->Submission.Job.Payload;
+  Order.Checkpoint = Starting->Checkpoint;
+  Order.Epoch = Of->Epoch;
+  bool MaybeStarted = false;
+  for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
+    const Instant Now = this->Time.monotonic();
+    Order.LeaseUntilMs = Worker->clockAt(Now) + StartLease.Ms;
+    Worker->LeaseEnds = std::max(
+        Worker->LeaseEnds,
+        Now + Duration{StartLease.Ms * SlowClockPercent / WholePercent} +
+            LeaseMargin);
+    const std::shared_ptr<WorkerClient> Client = Worker->Client;
+    const OrderAnswer Answer = co_await Client->start(Order, OrderTimeout);
+    if (!Of->Active)
+      co_return;
+    if (Answer.Outcome == OrderOutcome::Accepted) {
+      Of->Table.confirm(Task, Run, this->Time.monotonic());
+      this->ensureHolding(Of, Worker);
+      this->requestTurn();
+      co_return;
+    }
+    if (Answer.Outcome == OrderOutcome::StaleEpoch) {
+      this->Fenced("worker " + WorkerId);
+      co_return;
+    }
+    const bool Unanswered = Answer.Outcome == OrderOutcome::Unknown;
+    if (!Unanswered && !MaybeStarted) {
+      Worker->DoubtedUntil = this->Time.monotonic() + DoubtAfterRefusal;
+      if (Answer.Outcome == OrderOutcome::Late ||
+          Answer.Outcome == OrderOutcome::OtherLife)
+        Worker->Synced = false;
+      Of->Table.refuse(Task, Run, this->Time.monotonic(), PauseAfterRefusal,
+                       toString(Answer.Outcome));
+      this->ensureHolding(Of, Worker);
+      this->requestTurn();
+      co_return;
+    }
+    MaybeStarted = true;
+    co_await pauseFor(this->Io, OrderRetryPause);
+    if (!Of->Active)
+      co_return;
+  }
+  // Nobody knows whether it runs: an accepted stop settles that.
+  Worker->DoubtedUntil = this->Time.monotonic() + DoubtAfterRefusal;
+  logEvent(LogLevel::Warning, "start_unanswered",
+           {{"task", Task}, {"run", Run}, {"worker", WorkerId}});
+  co_await this->stopTask(Of, Worker, Task, Run);
+}
+
+asio::awaitable<void> Dispatcher::stopTask(Held Of, Link Worker,
+                                           std::string Task, std::int64_t Run) {
+  if (!Of->Stopping.insert({Task, Run}).second)
+    co_return;
+  const auto StillThere = [&] {
+    const auto Members = Of->Table.membersOn(Worker->Id);
+    return std::ranges::any_of(Members, [&](const MemberRef &Ref) {
+      return Ref.Of->Run == Run && Ref.Of->taskName(Ref.Index) == Task;
+    });
+  };
+  const bool Known = StillThere();
+  while (Of->Active && Worker->Client) {
+    const std::shared_ptr<WorkerClient> Client = Worker->Client;
+    const OrderAnswer Answer =
+        co_await Client->stop(Task, Run, Of->Epoch, OrderTimeout);
+    if (!Of->Active)
+      co_return;
+    if (Answer.Outcome == OrderOutcome::StaleEpoch) {
+      this->Fenced("worker " + Worker->Id);
+      co_return;
+    }
+    if (Answer.Outcome == OrderOutcome::Accepted ||
+        Answer.Outcome == OrderOutcome::StaleRun) {
+      Of->Table.stopAccepted(Task, Run, this->Time.monotonic());
+      break;
+    }
+    if (!Known || !StillThere())
+      break;
+    co_await pauseFor(this->Io, OrderRetryPause);
+  }
+  Of->Stopping.erase({Task, Run});
+  Worker->CatchingUp = true;
+  this->ensureHolding(Of, Worker);
+}
+
+void Dispatcher::ensureHolding(const Held &Of, const Link &Worker) {
+  const bool Needed = !Worker->Synced || Worker->CatchingUp ||
+                      Worker->EndsRecorded > Worker->EndsAcknowledged ||
+                      !Of->Table.membersOn(Worker->Id).empty();
+  if (Worker->Looping || !Needed)
+    return;
+  Worker->Looping = true;
+  asio::co_spawn(this->Io, this->holdLoop(Of, Worker), asio::detached);
+}
+
+asio::awaitable<void> Dispatcher::holdLoop(Held Of, Link Worker) {
+  while (Of->Active) {
+    const bool Occupied = !Of->Table.membersOn(Worker->Id).empty();
+    const bool Needed = !Worker->Synced || Worker->CatchingUp || Occupied ||
+                        Worker->EndsRecorded > Worker->EndsAcknowledged;
+    if (!Needed || (!Worker->Listed && !Occupied))
+      break;
+    if (!Worker->Client) {
+      this->holdFailed(Of, Worker, OrderOutcome::Unreachable);
+      co_await pauseFor(this->Io, HoldRetryPause);
+      continue;
+    }
+    const Instant AskedAt = this->Time.monotonic();
+    HoldOrder Order;
+    Order.Epoch = Of->Epoch;
+    Order.AcknowledgedEnd = Worker->EndsRecorded;
+    // A silent worker is only looked at, so that its leases end.
+    const bool Renews = Worker->Synced && Worker->SilentSince.Ms == 0;
+    const bool Waits = Renews && Occupied && !Worker->CatchingUp;
+    if (Renews) {
+      Order.LeaseUntilMs =
+          Worker->clockAt(AskedAt) + this->Settings.MaxLease.Ms;
+      Worker->LeaseEnds = AskedAt +
+                          Duration{this->Settings.MaxLease.Ms *
+                                   SlowClockPercent / WholePercent} +
+                          LeaseMargin;
+    }
+    if (Waits)
+      Order.WaitMs = HoldWait.Ms;
+    const Duration Timeout = Duration{Order.WaitMs} + HoldSlack;
+    Worker->CatchingUp = false;
+    const std::shared_ptr<WorkerClient> Client = Worker->Client;
+    const HoldAnswer Answer = co_await Client->hold(Order, Timeout);
+    if (!Of->Active)
+      break;
+    if (Answer.Outcome == OrderOutcome::StaleEpoch) {
+      this->Fenced("worker " + Worker->Id);
+      break;
+    }
+    if (Answer.Outcome != OrderOutcome::Accepted) {
+      this->holdFailed(Of, Worker, Answer.Outcome);
+      co_await pauseFor(this->Io, HoldRetryPause);
+      continue;
+    }
+    Worker->EndsAcknowledged = Order.AcknowledgedEnd;
+    this->holdAnswered(Of, Worker, Answer.Report, AskedAt);
+    // The worker answers at once as long as it has ends to tell.
+    while (Of->Active && Worker->EndsSeen > Worker->EndsRecorded)
+      co_await Worker->Wake.wait(HoldWait);
+  }
+  Worker->Looping = false;
+}
+
+void Dispatcher::holdAnswered(const Held &Of, const Link &Worker,
+                              const WorkerReport &Report, Instant AskedAt) {
+  const Instant Now = this->Time.monotonic();
+  if (Worker->SilentSince.Ms != 0 && Worker->Synced)
+    logEvent(LogLevel::Info, "worker_regained",
+             {{"worker", Worker->Id},
+              {"silent_ms", (Now - Worker->SilentSince).Ms}});
+  const bool NewLife = Report.BornWallMs != Worker->BornWallMs;
+  if (NewLife) {
+    Of->Table.workerReborn(Worker->Id, Report.BornWallMs, Now);
+    Worker->BornWallMs = Report.BornWallMs;
+    Worker->EndsSeen = 0;
+    Worker->EndsRecorded = 0;
+    Worker->EndsAcknowledged = 0;
+  }
+  // A long wait ends with the answer, so the clock is read at about Now.
+  Worker->ClockOffsetMs = Report.ClockMs - Now.Ms;
+  Worker->Synced = true;
+  Worker->SilentSince = {};
+  const std::vector<RunningTask> Unwanted = Of->Table.applyReport(
+      Worker->Id, Report, AskedAt, Now, this->Time.wall().Ms);
+  for (const EndedRun &End : Report.Ended)
+    Worker->EndsSeen = std::max(Worker->EndsSeen, End.Number);
+  for (const RunningTask &Task : Unwanted) {
+    logEvent(LogLevel::Warning, "unwanted_run",
+             {{"task", Task.Task}, {"run", Task.Run}, {"worker", Worker->Id}});
+    asio::co_spawn(this->Io, this->stopTask(Of, Worker, Task.Task, Task.Run),
+                   asio::detached);
+  }
+  this->requestTurn();
+}
+
+void Dispatcher::holdFailed(const Held &Of, const Link &Worker,
+                            OrderOutcome Outcome) {
+  const Instant Now = this->Time.monotonic();
+  if (Worker->SilentSince.Ms == 0) {
+    Worker->SilentSince = Now;
+    logEvent(LogLevel::Warning, "worker_silent",
+             {{"worker", Worker->Id}, {"outcome", toString(Outcome)}});
+  }
+  // Another worker answers at its address: this one is gone.
+  const bool Replaced = Outcome == OrderOutcome::OtherLife;
+  if (!Replaced && Now < Worker->LeaseEnds)
+    return;
+  if (Of->Table.membersOn(Worker->Id).empty())
+    return;
+  Of->Table.workerLost(Worker->Id, Now, Replaced ? "replaced" : "lease_ended");
+  this->requestTurn();
+}
+
+void Dispatcher::learnFromEvents(Tenure &Of, const TableEvent &Event) {
+  const auto Found = Of.Workers.find(Event.Worker);
+  if (Event.What != TableEvent::Kind::Ended || Found == Of.Workers.end())
+    return;
+  WorkerLink &Worker = *Found->second;
+  if (Event.Detail == "done") {
+    Worker.FailureStreak = 0;
+    this->Durations.learn(Event.Queue, Event.EstimatedMs, Event.Ms);
+  }
+  if (Event.Detail != "failed")
+    return;
+  const std::int64_t Doublings =
+      std::min(Worker.FailureStreak++, LongestDoubtDoublings);
+  Worker.DoubtedUntil =
+      this->Time.monotonic() +
+      DoubtAfterFailure * (std::int64_t{1} << static_cast<unsigned>(Doublings));
+}
+
+void Dispatcher::logEvents(Tenure &Of) {
+  constexpr std::array Names{"placed",    "started",      "start_refused",
+                             "run_ended", "run_vanished", "stop_wanted",
+                             "unit_done", "job_ended"};
+  for (const TableEvent &Event : Of.Table.takeEvents()) {
+    this->learnFromEvents(Of, Event);
+    const std::string_view Name = Names[static_cast<std::size_t>(Event.What)];
+    if (Event.What == TableEvent::Kind::UnitDone)
+      continue;
+    logEvent(LogLevel::Info, Name,
+             {{"id", Event.Subject},
+              {"run", Event.Run},
+              {"worker", Event.Worker},
+              {"detail", Event.Detail},
+              {"ms", Event.Ms},
+              {"epoch", Of.Epoch}});
+  }
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/entry/job_board.cpp
@@ -0,0 +1,62 @@
+#include "pistachioflow/entry/job_board.hpp"
+
+#include <optional>
+
+namespace pistachioflow {
+
+bool JobBoard::apply(const JournalRecord &Record) {
+  constexpr std::size_t PrefixSize = 2;
+  if (Record.Key.size() <= PrefixSize)
+    return false;
+  const std::string Id = Record.Key.substr(PrefixSize);
+  switch (static_cast<RecordKind>(Record.Key.front())) {
+  case RecordKind::Submission: {
+    if (Record.Value.empty()) {
+      this->Jobs.erase(Id);
+      return true;
+    }
+    const auto Read = decodeRecord<SubmissionRecord>(Record.Value);
+    if (!Read)
+      return false;
+    this->Jobs[Id].Queue = Read->Queue;
+    return true;
+  }
+  case RecordKind::Cancellation:
+    if (!Record.Value.empty())
+      this->Jobs[Id].CancelWanted = true;
+    return true;
+  case RecordKind::JobPhase: {
+    if (Record.Value.empty())
+      return true;
+    const auto Read = decodeRecord<JobPhaseRecord>(Record.Value);
+    if (!Read)
+      return false;
+    this->Jobs[Id].Phase = Read->Phase;
+    return true;
+  }
+  case RecordKind::Unit:
+  case RecordKind::Ownership:
+    return true;
+  }
+  return false;
+}
+
+const JobBoard::Entry *JobBoard::find(std::string_view JobId) const {
+  const auto Found = this->Jobs.find(std::string(JobId));
+  return Found == this->Jobs.end() ? nullptr : &Found->second;
+}
+
+std::int64_t JobBoard::waiting(std::string_view Queue) const {
+  std::int64_t Count = 0;
+  for (const auto &[Id, Job] : this->Jobs)
+    if (Job.Queue == Queue && shownPhase(Job) == JobPhase::Queued)
+      ++Count;
+  return Count;
+}
+
+JobPhase shownPhase(const JobBoard::Entry &Entry) {
+  const bool Cancelled = Entry.CancelWanted && !hasEnded(Entry.Phase);
+  return Cancelled ? JobPhase::Cancelled : Entry.Phase;
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/entry/planning.cpp
@@ -0,0 +1,240 @@
+#include "pistachioflow/entry/planning.hpp"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include "pistachioflow/sched/queue_order.hpp"
+
+namespace pistachioflow {
+
+namespace {
+
+/// Weight of an accelerator in lost work, in cores, as operators price it.
+constexpr std::int64_t CoresPerAccelerator = 8;
+constexpr double MilliPerUnit = 1'000.0;
+
+using AcceleratorUse = std::map<std::string, std::int64_t>;
+
+std::vector<WorkerRoom> collectRooms(const PlanningView &View) {
+  std::vector<WorkerRoom> Rooms;
+  for (const auto &[Id, Link] : View.Workers) {
+    WorkerRoom Room;
+    Room.Id = Id;
+    Room.Service = Link->Entry.Service;
+    Room.Rack = rackOf(Link->Entry);
+    Room.Labels = Link->Entry.Labels;
+    Room.Capacity = Link->Entry.Capacity;
+    Room.Free = Room.Capacity - View.Table.usedOn(Id);
+    Room.Soon = Room.Free;
+    Room.Usable = Link->Listed && Link->Synced && !Link->Entry.Draining &&
+                  Link->SilentSince.Ms == 0;
+    Room.Doubted = Link->DoubtedUntil > View.Now;
+    Rooms.push_back(std::move(Room));
+  }
+  return Rooms;
+}
+
+/// Milliseconds of the longest chain of steps from \p First on.
+std::int64_t chainFrom(const PlanningView &View, const Job &Of,
+                       std::size_t First) {
+  const auto &Steps = Of.Submission.Job.Steps;
+  std::vector<std::int64_t> ToEnd(Steps.size(), 0);
+  for (std::size_t Index = Steps.size(); Index-- > First;) {
+    ToEnd[Index] += View.Durations.expectedMs(Of.Submission.Queue,
+                                              Steps[Index].EstimatedMs);
+    for (const std::int64_t Earlier : Steps[Index].After) {
+      auto &Before = ToEnd[static_cast<std::size_t>(Earlier)];
+      Before = std::max(Before, ToEnd[Index]);
+    }
+  }
+  if (First < ToEnd.size() && First > 0)
+    return ToEnd[First];
+  return ToEnd.empty() ? 0 : *std::ranges::max_element(ToEnd);
+}
+
+QueueRank rankOf(const PlanningView &View, const Unit &Of) {
+  const Job &Owner = *Of.Owner;
+  const QueueTerms &Terms = termsOf(View.Desired, Owner);
+  RankInputs Inputs;
+  Inputs.Priority = Terms.Priority;
+  Inputs.DueAt = Owner.AcceptedAt;
+  if (Owner.Submission.Job.Occurrences > 0)
+    Inputs.DueAt = Of.ReadySince;
+  Inputs.ChainMs = chainFrom(View, Owner, 0);
+  Inputs.LeftMs = chainFrom(View, Owner, Of.Step);
+  Inputs.Stretch = Terms.Stretch;
+  Inputs.AllowanceMs = Terms.AllowanceMs;
+  return rankUnit(Inputs, View.Now);
+}
+
+/// Accelerators in use by work of the highest priority, for each workspace.
+AcceleratorUse guaranteedUse(const PlanningView &View) {
+  AcceleratorUse Use;
+  for (const Unit *Of : View.Table.active())
+    if (termsOf(View.Desired, *Of->Owner).Priority == 0)
+      Use[Of->Owner->Submission.Workspace] +=
+          Of->spec().Each.Accelerators * Of->TaskCount;
+  return Use;
+}
+
+std::int64_t guaranteeOf(const PlanningView &View,
+                         const std::string &Workspace) {
+  const WorkspaceConfig *Found = findWorkspace(View.Desired, Workspace);
+  return Found ? Found->GuaranteedAccelerators : 0;
+}
+
+double lostWork(const Unit &Of, Instant Now) {
+  if (Of.spec().Checkpointing)
+    return 0;
+  const Demand &Each = Of.spec().Each;
+  const double Cores =
+      static_cast<double>(Each.MilliCores) / MilliPerUnit +
+      static_cast<double>(Each.Accelerators * CoresPerAccelerator);
+  const double Seconds =
+      static_cast<double>((Now - Of.PlacedAt).Ms) / MilliPerUnit;
+  return Cores * Seconds * static_cast<double>(Of.TaskCount);
+}
+
+std::vector<PlacedUnit> collectPlaced(const PlanningView &View,
+                                      std::span<Unit *const> Active,
+                                      std::vector<WorkerRoom> &Rooms,
+                                      const AcceleratorUse &Use) {
+  std::unordered_map<std::string, std::size_t> IndexOf;
+  for (std::size_t Index = 0; Index < Rooms.size(); ++Index)
+    IndexOf[Rooms[Index].Id] = Index;
+  std::vector<PlacedUnit> Placed;
+  for (const Unit *Of : Active) {
+    PlacedUnit Entry;
+    Entry.Workspace = Of->Owner->Submission.Workspace;
+    Entry.Priority = termsOf(View.Desired, *Of->Owner).Priority;
+    Entry.Each = Of->spec().Each;
+    if (Of->spec().FillsIdleCpu)
+      Entry.Each.MilliCores = 0;
+    const auto Used = Use.find(Entry.Workspace);
+    Entry.BeyondGuarantee =
+        Used != Use.end() && Used->second > guaranteeOf(View, Entry.Workspace);
+    Entry.LostWork = lostWork(*Of, View.Now);
+    Entry.Stopping = Of->Done || hasEnded(Of->Owner->Phase);
+    for (const Member &At : Of->Members) {
+      if (At.Phase == MemberPhase::Gone)
+        continue;
+      Entry.Stopping = Entry.Stopping || At.StopWanted;
+      const auto Room = IndexOf.find(At.Worker);
+      if (Room != IndexOf.end())
+        Entry.Rooms.push_back(Room->second);
+    }
+    if (Entry.Stopping)
+      for (const std::size_t Room : Entry.Rooms)
+        Rooms[Room].Soon = Rooms[Room].Soon + Entry.Each;
+    Placed.push_back(std::move(Entry));
+  }
+  return Placed;
+}
+
+WaitingUnit describe(const PlanningView &View, const Unit &Of,
+                     const AcceleratorUse &Use) {
+  const Job &Owner = *Of.Owner;
+  const QueueTerms &Terms = termsOf(View.Desired, Owner);
+  WaitingUnit Entry;
+  Entry.Service = Terms.Service;
+  Entry.Workspace = Owner.Submission.Workspace;
+  Entry.Priority = Terms.Priority;
+  Entry.Step = &Of.spec();
+  Entry.TaskCount = Of.TaskCount;
+  Entry.Avoided = &Of.FailedOn;
+  const auto Used = Use.find(Entry.Workspace);
+  const std::int64_t Held = Used == Use.end() ? 0 : Used->second;
+  Entry.WithinGuarantee = Held + Of.spec().Each.Accelerators * Of.TaskCount <=
+                          guaranteeOf(View, Entry.Workspace);
+  Entry.ExpectedMs =
+      View.Durations.expectedMs(Owner.Submission.Queue, Of.spec().EstimatedMs);
+  if (Of.spec().MaxPerWorker > 0) {
+    const StepState &Step = Owner.Occurrences.at(Of.Occurrence).Steps[Of.Step];
+    for (const Unit &Sibling : Step.Units)
+      for (const Member &At : Sibling.Members)
+        if (At.Phase != MemberPhase::Gone)
+          Entry.SameStepOn.push_back(At.Worker);
+  }
+  return Entry;
+}
+
+std::vector<Unit *> rankedWaiting(const PlanningView &View) {
+  struct Ranked {
+    QueueRank Rank;
+    Unit *Of;
+  };
+  std::vector<Ranked> List;
+  for (Unit *Of : View.Table.placeable(View.Now))
+    List.push_back({rankOf(View, *Of), Of});
+  std::ranges::sort(List, [](const Ranked &Left, const Ranked &Right) {
+    if (Left.Rank != Right.Rank)
+      return Left.Rank < Right.Rank;
+    if (Left.Of->Owner != Right.Of->Owner)
+      return Left.Of->Owner->Id < Right.Of->Owner->Id;
+    return Left.Of < Right.Of;
+  });
+  std::vector<Unit *> Units;
+  for (const Ranked &Entry : List)
+    Units.push_back(Entry.Of);
+  return Units;
+}
+
+} // namespace
+
+void DurationModel::learn(const std::string &Queue, std::int64_t EstimatedMs,
+                          std::int64_t ActualMs) {
+  constexpr double Newest = 0.1;
+  constexpr std::int64_t Settling = 10;
+  if (EstimatedMs <= 0 || ActualMs <= 0)
+    return;
+  Ratio &Entry = this->Ratios[Queue];
+  const double Seen =
+      static_cast<double>(ActualMs) / static_cast<double>(EstimatedMs);
+  ++Entry.Samples;
+  const double Weight = Entry.Samples < Settling
+                            ? 1.0 / static_cast<double>(Entry.Samples)
+                            : Newest;
+  Entry.Value += Weight * (Seen - Entry.Value);
+}
+
+std::int64_t DurationModel::expectedMs(const std::string &Queue,
+                                       std::int64_t EstimatedMs) const {
+  const auto Found = this->Ratios.find(Queue);
+  const double Factor = Found == this->Ratios.end() ? 1.0 : Found->second.Value;
+  return static_cast<std::int64_t>(Factor * static_cast<double>(EstimatedMs));
+}
+
+const QueueTerms &termsOf(const DesiredState &Desired, const Job &Of) {
+  const QueueConfig *Queue = findQueueByName(Desired, Of.Submission.Queue);
+  return Queue ? Queue->Terms : Of.Submission.Terms;
+}
+
+PlanningResult planRound(const PlanningView &View) {
+  PlanningResult Result;
+  const std::vector<Unit *> Units = rankedWaiting(View);
+  Result.Waiting = Units.size();
+  if (Units.empty())
+    return Result;
+  std::vector<WorkerRoom> Rooms = collectRooms(View);
+  const std::vector<Unit *> Active = View.Table.active();
+  const AcceleratorUse Use = guaranteedUse(View);
+  const std::vector<PlacedUnit> Placed =
+      collectPlaced(View, Active, Rooms, Use);
+  std::vector<WaitingUnit> Waiting;
+  for (const Unit *Of : Units)
+    Waiting.push_back(describe(View, *Of, Use));
+  const PlacementPlan Plan = planPlacement(Rooms, Waiting, Placed);
+  for (const PlannedStart &Start : Plan.Starts) {
+    UnitPlacement Entry{Units[Start.Unit], {}};
+    for (const std::size_t Room : Start.Rooms)
+      Entry.Places.push_back(
+          {Rooms[Room].Id, View.Workers.at(Rooms[Room].Id)->BornWallMs});
+    Result.Starts.push_back(std::move(Entry));
+  }
+  for (const std::size_t Index : Plan.Preempted)
+    Result.Preempted.push_back(Active[Index]);
+  return Result;
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/entry/topic_follower.cpp
@@ -0,0 +1,148 @@
+#include "pistachioflow/entry/topic_follower.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "pistachioflow/base/log.hpp"
+
+namespace pistachioflow {
+
+namespace {
+
+/// How long the store may hold a read that finds nothing. Bounds how late a
+/// silent connection is noticed.
+constexpr Duration ReadWait{1'000};
+/// Beyond ReadWait: a few answers of a slow store.
+constexpr Duration ReadSlack{800};
+constexpr Duration LoadTimeout{2'000};
+constexpr Duration RetryPause{100};
+
+} // namespace
+
+TopicFollower::TopicFollower(asio::io_context &Io, StoreClient &Store,
+                             const Clock &Time, std::string Topic,
+                             TopicObserver Observer, Duration Pace)
+    : Io(Io), Store(Store), Time(Time), Topic(std::move(Topic)),
+      Observer(std::move(Observer)), Pace(Pace), Applied(Io) {}
+
+void TopicFollower::stop() { this->Stopped = true; }
+
+void TopicFollower::reload() {
+  this->Loaded = false;
+  this->CaughtUpNow = false;
+}
+
+asio::awaitable<bool> TopicFollower::refresh(Duration Longest) {
+  const Instant Asked = this->Time.monotonic();
+  while (this->FreshAt < Asked) {
+    const Duration Left = Longest - (this->Time.monotonic() - Asked);
+    if (Left.Ms <= 0)
+      co_return false;
+    co_await this->Applied.wait(Left);
+  }
+  co_return true;
+}
+
+asio::awaitable<void> TopicFollower::run() {
+  while (!this->Stopped) {
+    bool Loaded = this->Loaded;
+    if (!Loaded)
+      Loaded = co_await this->load();
+    if (Loaded)
+      co_await this->readOnce();
+    if (!this->Stopped && this->Pace.Ms > 0)
+      co_await pauseFor(this->Io, this->Pace);
+  }
+}
+
+asio::awaitable<bool> TopicFollower::load() {
+  std::vector<JournalRecord> Records;
+  std::string After;
+  std::int64_t From = -1;
+  std::int64_t Highest = -1;
+  const Instant SentAt = this->Time.monotonic();
+  while (true) {
+    NewestPage Page =
+        co_await this->Store.newest(this->Topic, After, LoadTimeout);
+    if (Page.Outcome != ReadOutcome::Read) {
+      this->contactLost("newest");
+      co_await pauseFor(this->Io, RetryPause);
+      co_return false;
+    }
+    // Pages are no snapshot: what changed meanwhile follows from the end that
+    // the first page saw.
+    if (From < 0)
+      From = Page.EndOffset;
+    Highest = std::max(Highest, Page.HighestOffset);
+    for (JournalRecord &Record : Page.Records)
+      Records.push_back(std::move(Record));
+    if (!Page.More || Page.Records.empty())
+      break;
+    After = Records.back().Key;
+  }
+  this->Loaded = true;
+  this->Next = From;
+  this->LoadedUpTo = std::max(From, Highest + 1);
+  this->Observer.Reset();
+  for (const JournalRecord &Record : Records)
+    this->Observer.Apply(Record);
+  logEvent(LogLevel::Info, "topic_loaded",
+           {{"topic", this->Topic},
+            {"records", static_cast<std::int64_t>(Records.size())},
+            {"offset", From}});
+  if (this->Next >= this->LoadedUpTo)
+    this->contactMade(SentAt);
+  co_return true;
+}
+
+asio::awaitable<void> TopicFollower::readOnce() {
+  const Instant SentAt = this->Time.monotonic();
+  const bool Behind = this->Next < this->LoadedUpTo;
+  const Duration Wait = Behind ? Duration{0} : ReadWait;
+  const ReadAnswer Answer = co_await this->Store.read(this->Topic, this->Next,
+                                                      Wait, Wait + ReadSlack);
+  if (!this->Loaded || this->Stopped)
+    co_return;
+  if (Answer.Outcome == ReadOutcome::Expired) {
+    logEvent(LogLevel::Info, "topic_expired",
+             {{"topic", this->Topic}, {"offset", this->Next}});
+    this->reload();
+    co_return;
+  }
+  if (Answer.Outcome != ReadOutcome::Read) {
+    this->contactLost(Answer.Outcome == ReadOutcome::Refused ? "refused"
+                                                             : "unreachable");
+    co_await pauseFor(this->Io, RetryPause);
+    co_return;
+  }
+  this->LastContact = this->Time.monotonic();
+  for (const JournalRecord &Record : Answer.Records) {
+    this->Observer.Apply(Record);
+    if (!this->Loaded || this->Stopped)
+      co_return;
+  }
+  this->Next += static_cast<std::int64_t>(Answer.Records.size());
+  if (this->Next >= Answer.EndOffset && this->Next >= this->LoadedUpTo)
+    this->contactMade(SentAt);
+}
+
+void TopicFollower::contactLost(std::string_view Reason) {
+  if (!this->Lost)
+    logEvent(LogLevel::Warning, "store_lost",
+             {{"topic", this->Topic}, {"reason", Reason}});
+  this->Lost = true;
+}
+
+void TopicFollower::contactMade(Instant SentAt) {
+  if (this->Lost)
+    logEvent(LogLevel::Info, "store_regained",
+             {{"topic", this->Topic}, {"offset", this->Next}});
+  this->Lost = false;
+  this->FreshAt = SentAt;
+  this->LastContact = this->Time.monotonic();
+  this->CaughtUpNow = true;
+  this->Applied.notify();
+  this->Observer.CaughtUp();
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/entryd/main.cpp
@@ -0,0 +1,72 @@
+// The daemon that runs on every entry instance of the users' platform.
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+#include "pistachioflow/base/log.hpp"
+#include "pistachioflow/entry/instance.hpp"
+
+ABSL_FLAG(std::string, settings, "",
+          "settings file; otherwise PISTACHIOFLOW_SETTINGS names it");
+ABSL_FLAG(bool, check, false, "read the settings, report findings, and exit");
+ABSL_FLAG(bool, verbose, false, "log debug lines too");
+
+namespace {
+
+using namespace pistachioflow;
+
+std::string settingsPath() {
+  const std::string Given = absl::GetFlag(FLAGS_settings);
+  if (!Given.empty())
+    return Given;
+  const char *Named = std::getenv("PISTACHIOFLOW_SETTINGS");
+  return Named ? Named : "";
+}
+
+void onSignal(asio::signal_set &Signals, Instance &Running) {
+  Signals.async_wait([&](asio::error_code Failure, int Number) {
+    if (Failure)
+      return;
+    if (Number == SIGHUP)
+      Running.reload();
+    else
+      Running.shutDown();
+    onSignal(Signals, Running);
+  });
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  absl::SetProgramUsageMessage("Runs one entry instance of pistachioflow.");
+  absl::ParseCommandLine(Argc, Argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string Path = settingsPath();
+  Result<InstanceSettings> Settings = loadInstanceSettings(Path);
+  if (!Settings) {
+    std::cerr << Settings.error().Message << "\n"
+              << formatFindings(Settings.error().Details);
+    return EXIT_FAILURE;
+  }
+  if (absl::GetFlag(FLAGS_check))
+    return EXIT_SUCCESS;
+  startLogging(Settings.value().Instance,
+               absl::GetFlag(FLAGS_verbose) ? LogLevel::Debug : LogLevel::Info);
+  const SystemClock Time;
+  asio::io_context Io(1);
+  Instance Running(Io, Time, std::move(Settings.value()), Path);
+  if (!Running.start())
+    return EXIT_FAILURE;
+  asio::signal_set Signals(Io, SIGTERM, SIGINT, SIGHUP);
+  onSignal(Signals, Running);
+  Io.run();
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/pistachioflow/net/message_parser.cpp
@@ -0,0 +1,100 @@
+#include "pistachioflow/net/message_parser.hpp"
+
+#include <utility>
+
+namespace pistachioflow {
+
+MessageParser::MessageParser(http_parser_type Kind, std::size_t BodyLimit,
+                             std::size_t HeaderLimit)
+    : Kind(Kind), BodyLimit(BodyLimit), HeaderLimit(HeaderLimit) {
+  this->reset();
+}
+
+void MessageParser::reset() {
+  http_parser_init(&this->Parser, this->Kind);
+  this->Parser.data = this;
+  this->HeaderBytes = 0;
+  this->Target.clear();
+  this->Body.clear();
+  this->Headers.clear();
+  this->LastWasValue = true;
+  this->Started = false;
+  this->Complete = false;
+  this->TooLarge = false;
+}
+
+const http_parser_settings &MessageParser::callbacks() {
+  static const http_parser_settings Table = [] {
+    http_parser_settings Made;
+    http_parser_settings_init(&Made);
+    Made.on_url = [](http_parser *P, const char *At, std::size_t Size) {
+      auto &Self = *static_cast<MessageParser *>(P->data);
+      Self.Target.append(At, Size);
+      Self.HeaderBytes += Size;
+      return Self.HeaderBytes > Self.HeaderLimit ? 1 : 0;
+    };
+    Made.on_header_field = [](http_parser *P, const char *At,
+                              std::size_t Size) {
+      auto &Self = *static_cast<MessageParser *>(P->data);
+      if (Self.LastWasValue)
+        Self.Headers.emplace_back();
+      Self.LastWasValue = false;
+      Self.Headers.back().Name.append(At, Size);
+      Self.HeaderBytes += Size;
+      return Self.HeaderBytes > Self.HeaderLimit ? 1 : 0;
+    };
+    Made.on_header_value = [](http_parser *P, const char *At,
+                              std::size_t Size) {
+      auto &Self = *static_cast<MessageParser *>(P->data);
+      Self.LastWasValue = true;
+      Self.Headers.back().Value.append(At, Size);
+      Self.HeaderBytes += Size;
+      return Self.HeaderBytes > Self.HeaderLimit ? 1 : 0;
+    };
+    Made.on_body = [](http_parser *P, const char *At, std::size_t Size) {
+      auto &Self = *static_cast<MessageParser *>(P->data);
+      Self.TooLarge = Self.Body.size() + Size > Self.BodyLimit;
+      if (Self.TooLarge)
+        return 1;
+      Self.Body.append(At, Size);
+      return 0;
+    };
+    Made.on_message_complete = [](http_parser *P) {
+      auto &Self = *static_cast<MessageParser *>(P->data);
+      Self.Complete = true;
+      Self.KeepAlive = http_should_keep_alive(P) != 0;
+      http_parser_pause(P, 1);
+      return 0;
+    };
+    return Made;
+  }();
+  return Table;
+}
+
+MessageParser::State MessageParser::feed(std::string_view Bytes,
+                                         std::size_t &Consumed) {
+  this->Started = this->Started || !Bytes.empty();
+  const std::size_t Used = http_parser_execute(&this->Parser, &callbacks(),
+                                               Bytes.data(), Bytes.size());
+  Consumed += Used;
+  if (this->Complete)
+    return State::Complete;
+  if (this->TooLarge || this->HeaderBytes > this->HeaderLimit)
+    return State::TooLarge;
+  if (HTTP_PARSER_ERRNO(&this->Parser) != HPE_OK)
+    return State::Malformed;
+  return State::NeedsMore;
+}
+
+HttpRequest MessageParser::takeRequest() {
+  const auto Method = static_cast<http_method>(this->Parser.method);
+  return {http_method_str(Method), std::move(this->Target),
+          std::move(this->Headers), std::move(this->Body)};
+}
+
+HttpResponse MessageParser::takeResponse() {
+  return {static_cast<int>(this->Parser.status_code), std::move(this->Headers),
+          std::move(this->Body)};
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/platform/store_client.cpp
@@ -0,0 +1,281 @@
+#include "pistachioflow/platform/store_client.hpp"
+
+#include <array>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "pistachioflow/codec/json_reader.hpp"
+
+namespace pistachioflow {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t OffsetBytes = 8;
+constexpr unsigned ByteBits = 8;
+
+std::uint64_t readBigEndian(std::string_view Bytes) {
+  std::uint64_t Value = 0;
+  for (const char Byte : Bytes)
+    Value = (Value << ByteBits) | static_cast<unsigned char>(Byte);
+  return Value;
+}
+
+void appendLength(std::string &Bytes, std::size_t Length) {
+  for (std::size_t Byte = LengthBytes; Byte > 0; --Byte)
+    Bytes += static_cast<char>((Length >> (ByteBits * (Byte - 1))) & 0xFFU);
+}
+
+std::string escapeQuery(std::string_view Text) {
+  constexpr std::string_view Hex = "0123456789ABCDEF";
+  std::string Escaped;
+  for (const char Letter : Text) {
+    const auto Byte = static_cast<unsigned char>(Letter);
+    const bool Plain = std::isalnum(Byte) != 0 || Letter == '.' ||
+                       Letter == '-' || Letter == '_';
+    if (Plain) {
+      Escaped += Letter;
+      continue;
+    }
+    Escaped += '%';
+    Escaped += Hex[Byte >> 4U];
+    Escaped += Hex[Byte & 0xFU];
+  }
+  return Escaped;
+}
+
+std::int64_t integerIn(const Json &Body, const char *Key) {
+  const auto Found = Body.is_object() ? Body.find(Key) : Body.end();
+  if (Found == Body.end() || !Found->is_number_integer())
+    return 0;
+  return Found->get<std::int64_t>();
+}
+
+int sextetOf(char Letter) {
+  if (Letter >= 'A' && Letter <= 'Z')
+    return Letter - 'A';
+  if (Letter >= 'a' && Letter <= 'z')
+    return Letter - 'a' + 26;
+  if (Letter >= '0' && Letter <= '9')
+    return Letter - '0' + 52;
+  if (Letter == '+' || Letter == '-')
+    return 62;
+  if (Letter == '/' || Letter == '_')
+    return 63;
+  return -1;
+}
+
+std::string decodeBase64(std::string_view Text) {
+  constexpr unsigned SextetBits = 6;
+  std::string Bytes;
+  std::uint32_t Pending = 0;
+  unsigned Bits = 0;
+  for (const char Letter : Text) {
+    const int Sextet = sextetOf(Letter);
+    if (Sextet < 0)
+      continue;
+    Pending = (Pending << SextetBits) | static_cast<std::uint32_t>(Sextet);
+    Bits += SextetBits;
+    if (Bits < ByteBits)
+      continue;
+    Bits -= ByteBits;
+    Bytes += static_cast<char>((Pending >> Bits) & 0xFFU);
+  }
+  return Bytes;
+}
+
+HttpRequest appendRequest(std::string Target,
+                          std::span<const JournalRecord> Records) {
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Target = std::move(Target);
+  Request.Headers.push_back({"Content-Type", "application/octet-stream"});
+  Request.Body = encodeRecords(Records);
+  return Request;
+}
+
+HttpRequest readRequest(std::string Target) {
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Target = std::move(Target);
+  return Request;
+}
+
+AppendAnswer conflictOf(const Json &Body) {
+  const std::string Reason =
+      Body.is_object() ? Body.value("reason", "") : std::string();
+  if (Reason == "fenced")
+    return {AppendOutcome::Fenced};
+  return {AppendOutcome::WrongSequence, 0, integerIn(Body, "sequence")};
+}
+
+AppendAnswer appendAnswerOf(const CallResult &Call) {
+  if (Call.Outcome == CallOutcome::NotSent)
+    return {AppendOutcome::Refused};
+  if (Call.Outcome == CallOutcome::NoAnswer)
+    return {AppendOutcome::Unknown};
+  const Json Body = Json::parse(Call.Response.Body, nullptr, false);
+  switch (Call.Response.Status) {
+  case 200:
+    return {AppendOutcome::Appended, integerIn(Body, "end_offset")};
+  case 409:
+    return conflictOf(Body);
+  case 412:
+    return {AppendOutcome::Moved, integerIn(Body, "end_offset")};
+  default:
+    // 429, 503 and 507 say that nothing was done; so does any 4xx.
+    return {AppendOutcome::Refused};
+  }
+}
+
+ReadOutcome readOutcomeOf(const CallResult &Call) {
+  if (Call.Outcome != CallOutcome::Answered)
+    return ReadOutcome::Unreachable;
+  switch (Call.Response.Status) {
+  case 200:
+    return ReadOutcome::Read;
+  case 410:
+    return ReadOutcome::Expired;
+  default:
+    return ReadOutcome::Refused;
+  }
+}
+
+void addItem(NewestPage &Page, const Json &Item) {
+  const bool Shaped = Item.is_object() && Item.contains("key") &&
+                      Item["key"].is_string() && Item.contains("value") &&
+                      Item["value"].is_string();
+  if (!Shaped)
+    return;
+  Page.Records.push_back({Item["key"].get<std::string>(),
+                          decodeBase64(Item["value"].get<std::string>())});
+  Page.HighestOffset = std::max(Page.HighestOffset, integerIn(Item, "offset"));
+}
+
+} // namespace
+
+std::string_view toString(AppendOutcome Outcome) {
+  switch (Outcome) {
+  case AppendOutcome::Appended:
+    return "appended";
+  case AppendOutcome::Fenced:
+    return "fenced";
+  case AppendOutcome::WrongSequence:
+    return "wrong_sequence";
+  case AppendOutcome::Moved:
+    return "moved";
+  case AppendOutcome::Refused:
+    return "refused";
+  case AppendOutcome::Unknown:
+    return "unknown";
+  }
+  return "invalid";
+}
+
+StoreClient::StoreClient(asio::io_context &Io, std::string_view Address)
+    : Http(Io, parseEndpoint(Address)) {}
+
+asio::awaitable<AppendAnswer>
+StoreClient::append(std::string Topic, std::span<const JournalRecord> Records,
+                    Producer Writer, std::optional<std::int64_t> ExpectedEnd,
+                    Duration Timeout) {
+  std::string Target = "/log-append?topic=" + escapeQuery(Topic) + "&part=0";
+  Target += "&producer_id=" + escapeQuery(Writer.Id);
+  Target += "&epoch=" + std::to_string(Writer.Epoch);
+  Target += "&sequence=" + std::to_string(Writer.Sequence);
+  if (ExpectedEnd)
+    Target += "&at=" + std::to_string(*ExpectedEnd);
+  HttpRequest Request = appendRequest(std::move(Target), Records);
+  const CallResult Call = co_await this->Http.call(std::move(Request), Timeout);
+  co_return appendAnswerOf(Call);
+}
+
+asio::awaitable<ReadAnswer> StoreClient::read(std::string Topic,
+                                              std::int64_t From, Duration Wait,
+                                              Duration Timeout) {
+  HttpRequest Request = readRequest("/log-read?topic=" + escapeQuery(Topic) +
+                                    "&part=0&from=" + std::to_string(From) +
+                                    "&wait_ms=" + std::to_string(Wait.Ms));
+  const CallResult Call = co_await this->Http.call(std::move(Request), Timeout);
+  ReadAnswer Answer{readOutcomeOf(Call)};
+  if (Answer.Outcome != ReadOutcome::Read)
+    co_return Answer;
+  const std::string_view Body = Call.Response.Body;
+  bool Malformed = Body.size() < 2 * OffsetBytes;
+  if (!Malformed) {
+    Answer.EndOffset =
+        static_cast<std::int64_t>(readBigEndian(Body.substr(0, OffsetBytes)));
+    Answer.Records = decodeRecords(Body.substr(2 * OffsetBytes), Malformed);
+  }
+  if (Malformed)
+    Answer.Outcome = ReadOutcome::Refused;
+  co_return Answer;
+}
+
+asio::awaitable<NewestPage>
+StoreClient::newest(std::string Topic, std::string AfterKey, Duration Timeout) {
+  std::string Target = "/log-newest?topic=" + escapeQuery(Topic) + "&part=0";
+  if (!AfterKey.empty())
+    Target += "&after=" + escapeQuery(AfterKey);
+  HttpRequest Request = readRequest(std::move(Target));
+  const CallResult Call = co_await this->Http.call(std::move(Request), Timeout);
+  NewestPage Page{readOutcomeOf(Call)};
+  // A topic that nobody has written to yet is empty.
+  if (Call.Outcome == CallOutcome::Answered && Call.Response.Status == 404)
+    Page.Outcome = ReadOutcome::Read;
+  if (Page.Outcome != ReadOutcome::Read)
+    co_return Page;
+  const Json Body = Json::parse(Call.Response.Body, nullptr, false);
+  Page.EndOffset = integerIn(Body, "end_offset");
+  if (!Body.is_object())
+    co_return Page;
+  Page.More = Body.value("has_more", false);
+  if (Body.contains("items") && Body["items"].is_array())
+    for (const Json &Item : Body["items"])
+      addItem(Page, Item);
+  co_return Page;
+}
+
+std::string encodeRecords(std::span<const JournalRecord> Records) {
+  std::string Bytes;
+  for (const JournalRecord &Record : Records) {
+    appendLength(Bytes, 1 + Record.Key.size() + Record.Value.size());
+    Bytes += static_cast<char>(Record.Key.size());
+    Bytes += Record.Key;
+    Bytes += Record.Value;
+  }
+  return Bytes;
+}
+
+std::vector<JournalRecord> decodeRecords(std::string_view Bytes,
+                                         bool &Malformed) {
+  std::vector<JournalRecord> Records;
+  Malformed = false;
+  while (!Bytes.empty()) {
+    const std::size_t Length =
+        Bytes.size() < LengthBytes
+            ? Bytes.size()
+            : readBigEndian(Bytes.substr(0, LengthBytes));
+    Malformed =
+        Bytes.size() < LengthBytes || Length > Bytes.size() - LengthBytes;
+    if (Malformed)
+      break;
+    const std::string_view Record = Bytes.substr(LengthBytes, Length);
+    Bytes.remove_prefix(LengthBytes + Length);
+    const std::size_t KeySize =
+        Record.empty() ? 0 : static_cast<unsigned char>(Record.front());
+    // A record of another writer without a whole key names nothing.
+    if (Record.empty() || KeySize + 1 > Record.size()) {
+      Records.emplace_back();
+      continue;
+    }
+    Records.push_back({std::string(Record.substr(1, KeySize)),
+                       std::string(Record.substr(1 + KeySize))});
+  }
+  return Records;
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/sched/desired_state.cpp
@@ -0,0 +1,33 @@
+#include "pistachioflow/sched/desired_state.hpp"
+
+#include <algorithm>
+
+namespace pistachioflow {
+
+const QueueConfig *findQueue(const DesiredState &State, std::string_view Host,
+                             std::string_view Path) {
+  const std::string_view Name = Host.substr(0, Host.find(':'));
+  const QueueConfig *Best = nullptr;
+  for (const QueueConfig &Queue : State.Queues) {
+    if (Queue.Host != Name || !Path.starts_with(Queue.PathPrefix))
+      continue;
+    if (!Best || Queue.PathPrefix.size() > Best->PathPrefix.size())
+      Best = &Queue;
+  }
+  return Best;
+}
+
+const QueueConfig *findQueueByName(const DesiredState &State,
+                                   std::string_view Name) {
+  const auto Found = std::ranges::find(State.Queues, Name, &QueueConfig::Name);
+  return Found == State.Queues.end() ? nullptr : &*Found;
+}
+
+const WorkspaceConfig *findWorkspace(const DesiredState &State,
+                                     std::string_view Name) {
+  const auto Found =
+      std::ranges::find(State.Workspaces, Name, &WorkspaceConfig::Name);
+  return Found == State.Workspaces.end() ? nullptr : &*Found;
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -0,0 +1,660 @@
+#include "pistachioflow/sched/job_table.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace pistachioflow {
+
+namespace {
+
+/// Pause before a task or gang that failed is tried again. Failures of a
+/// worker show on its other tasks within about this time.
+constexpr Duration PauseAfterFailure{100};
+
+/// The four numbers in the name of a task, ID.K.STEP.INDEX. Index is -1 in the
+/// name of a gang.
+struct TaskName {
+  std::string_view JobId;
+  std::int64_t Occurrence = -1;
+  std::int64_t Step = -1;
+  std::int64_t Index = -1;
+};
+
+std::int64_t takeNumber(std::string_view &Rest) {
+  if (!Rest.starts_with('.'))
+    return -1;
+  Rest.remove_prefix(1);
+  std::int64_t Number = -1;
+  const auto Read =
+      std::from_chars(Rest.data(), Rest.data() + Rest.size(), Number);
+  if (Read.ec != std::errc() || Number < 0)
+    return -1;
+  Rest.remove_prefix(static_cast<std::size_t>(Read.ptr - Rest.data()));
+  return Number;
+}
+
+TaskName parseTaskName(std::string_view Name) {
+  const auto Dot = std::min(Name.find('.'), Name.size());
+  std::string_view Rest = Name.substr(Dot);
+  TaskName Parsed{Name.substr(0, Dot)};
+  Parsed.Occurrence = takeNumber(Rest);
+  Parsed.Step = takeNumber(Rest);
+  if (!Rest.empty())
+    Parsed.Index = takeNumber(Rest);
+  return Parsed;
+}
+
+Demand plus(Demand Left, const Demand &Right) {
+  Left.MilliCores += Right.MilliCores;
+  Left.MemoryMb += Right.MemoryMb;
+  Left.Accelerators += Right.Accelerators;
+  return Left;
+}
+
+std::string_view endName(RunEnd How) {
+  switch (How) {
+  case RunEnd::Done:
+    return "done";
+  case RunEnd::Failed:
+    return "failed";
+  case RunEnd::Stopped:
+    return "stopped";
+  case RunEnd::Lapsed:
+    return "lapsed";
+  case RunEnd::Broken:
+    return "broken";
+  case RunEnd::Alone:
+    return "alone";
+  case RunEnd::Unknown:
+    return "unknown";
+  }
+  return "invalid";
+}
+
+UnitRecord recordOf(const Unit &Of) {
+  UnitRecord Record{Of.Run, Of.Done, Of.Failures, Of.Checkpoint, {}};
+  const bool AnyLeft = std::ranges::any_of(Of.Members, [](const Member &Entry) {
+    return Entry.Phase != MemberPhase::Gone;
+  });
+  if (AnyLeft)
+    for (const Member &Entry : Of.Members)
+      Record.Places.push_back({Entry.Worker, Entry.BornWallMs});
+  return Record;
+}
+
+} // namespace
+
+const StepSpec &Unit::spec() const {
+  return this->Owner->Submission.Job.Steps[this->Step];
+}
+
+bool Unit::isGang() const { return this->spec().Gang; }
+
+std::string Unit::name() const {
+  std::string Name = this->Owner->Id + "." + std::to_string(this->Occurrence) +
+                     "." + std::to_string(this->Step);
+  if (!this->isGang())
+    Name += "." + std::to_string(this->FirstTask);
+  return Name;
+}
+
+std::string Unit::taskName(std::size_t MemberIndex) const {
+  if (!this->isGang())
+    return this->name();
+  return this->name() + "." + std::to_string(MemberIndex);
+}
+
+Job *JobTable::find(std::string_view JobId) {
+  const auto Found = this->Jobs.find(std::string(JobId));
+  return Found == this->Jobs.end() ? nullptr : &Found->second;
+}
+
+Unit *JobTable::findUnit(std::string_view UnitName) {
+  return this->findTask(UnitName).Of;
+}
+
+JobTable::TaskPlace JobTable::findTask(std::string_view Task) {
+  const TaskName Name = parseTaskName(Task);
+  Job *Owner = this->find(Name.JobId);
+  if (!Owner || Name.Occurrence < 0 || Name.Step < 0)
+    return {};
+  const auto Found = Owner->Occurrences.find(Name.Occurrence);
+  if (Found == Owner->Occurrences.end() ||
+      static_cast<std::size_t>(Name.Step) >= Found->second.Steps.size())
+    return {};
+  StepState &Step = Found->second.Steps[static_cast<std::size_t>(Name.Step)];
+  const auto Index =
+      static_cast<std::size_t>(std::max<std::int64_t>(Name.Index, 0));
+  if (Step.Units.front().isGang())
+    return {&Step.Units.front(), Index};
+  if (Index >= Step.Units.size())
+    return {};
+  return {&Step.Units[Index], 0};
+}
+
+void JobTable::addSubmission(std::string_view JobId,
+                             SubmissionRecord Submission, Instant Now,
+                             std::int64_t WallMs) {
+  const auto [Entry, Added] = this->Jobs.try_emplace(std::string(JobId));
+  if (!Added)
+    return; // A repeated submission stays one job.
+  Job &Made = Entry->second;
+  Made.Id = JobId;
+  Made.Submission = std::move(Submission);
+  const std::int64_t AgeMs =
+      std::max<std::int64_t>(WallMs - Made.Submission.AcceptedWallMs, 0);
+  Made.AcceptedAt = Now - Duration{AgeMs};
+  this->Unfinished.insert(Made.Id);
+}
+
+void JobTable::addCancellation(std::string_view JobId, std::int64_t WallMs,
+                               Instant Now) {
+  Job *Owner = this->find(JobId);
+  if (Owner && !hasEnded(Owner->Phase))
+    this->endJob(*Owner, JobPhase::Cancelled, WallMs, Now, "caller");
+}
+
+void JobTable::restorePhase(std::string_view JobId,
+                            const JobPhaseRecord &Record) {
+  Job *Owner = this->find(JobId);
+  if (!Owner)
+    return;
+  Owner->Phase = Record.Phase;
+  Owner->EndedWallMs = Record.EndedWallMs;
+  if (hasEnded(Record.Phase))
+    this->Unfinished.erase(Owner->Id);
+}
+
+void JobTable::restoreUnit(std::string_view UnitName, const UnitRecord &Record,
+                           Instant Now) {
+  const TaskName Name = parseTaskName(UnitName);
+  Job *Owner = this->find(Name.JobId);
+  if (!Owner || hasEnded(Owner->Phase) || Name.Occurrence < 0)
+    return;
+  this->openOccurrence(*Owner, Name.Occurrence);
+  Unit *Of = this->findUnit(UnitName);
+  if (!Of)
+    return;
+  this->RecordedUnits.insert(std::string(UnitName));
+  Of->Run = Record.Run;
+  Of->Failures = Record.Failures;
+  Of->Checkpoint = Record.Checkpoint;
+  Of->PlacedAt = Now;
+  if (Record.Done) {
+    this->unitDone(*Of, Now, 0);
+    return;
+  }
+  const bool Whole =
+      Record.Places.size() == static_cast<std::size_t>(Of->TaskCount);
+  if (!Whole)
+    return;
+  for (const PlaceRecord &Place : Record.Places)
+    Of->Members.push_back({Place.Worker, Place.BornWallMs, MemberPhase::Adopted,
+                           false, Now, Instant{}});
+  this->occupy(*Of);
+}
+
+void JobTable::openOccurrence(Job &Owner, std::int64_t Number) {
+  const auto [Entry, Added] = Owner.Occurrences.try_emplace(Number);
+  if (!Added)
+    return;
+  Occurrence &Made = Entry->second;
+  Made.Number = Number;
+  Made.Steps.resize(Owner.Submission.Job.Steps.size());
+  for (std::size_t Index = 0; Index < Made.Steps.size(); ++Index) {
+    const StepSpec &Spec = Owner.Submission.Job.Steps[Index];
+    const auto UnitCount =
+        Spec.Gang ? std::size_t{1} : static_cast<std::size_t>(Spec.TaskCount);
+    Made.Steps[Index].Units.resize(UnitCount);
+    for (std::size_t Task = 0; Task < UnitCount; ++Task) {
+      Unit &Of = Made.Steps[Index].Units[Task];
+      Of.Owner = &Owner;
+      Of.Occurrence = Number;
+      Of.Step = Index;
+      Of.FirstTask = static_cast<std::int64_t>(Task);
+      Of.TaskCount = Spec.Gang ? Spec.TaskCount : 1;
+    }
+  }
+}
+
+void JobTable::unlock(Instant Now, std::int64_t WallMs) {
+  for (auto Id = this->Unfinished.begin(); Id != this->Unfinished.end();) {
+    Job &Owner = this->Jobs.at(*Id);
+    const JobSpec &Spec = Owner.Submission.Job;
+    const std::int64_t Total = std::max<std::int64_t>(Spec.Occurrences, 1);
+    while (Owner.NextOccurrence < Total) {
+      const std::int64_t DueWallMs =
+          Spec.Occurrences > 0
+              ? Spec.FirstDueWallMs + Owner.NextOccurrence * Spec.IntervalMs
+              : 0;
+      if (DueWallMs > WallMs)
+        break;
+      this->openOccurrence(Owner, Owner.NextOccurrence++);
+    }
+    for (auto &[Number, Of] : Owner.Occurrences)
+      this->unlockSteps(Owner, Of, Now);
+    // Steps are unlocked here until every occurrence has been opened and each
+    // of its steps unlocked.
+    const bool AllOpen =
+        Owner.NextOccurrence >= Total &&
+        std::ranges::all_of(Owner.Occurrences, [](const auto &Entry) {
+          return std::ranges::all_of(Entry.second.Steps, &StepState::Unlocked);
+        });
+    Id = AllOpen ? this->Unfinished.erase(Id) : std::next(Id);
+  }
+}
+
+void JobTable::unlockSteps(Job &Owner, Occurrence &Of, Instant Now) {
+  for (std::size_t Index = 0; Index < Of.Steps.size(); ++Index) {
+    StepState &Step = Of.Steps[Index];
+    if (Step.Unlocked)
+      continue;
+    const auto &After = Owner.Submission.Job.Steps[Index].After;
+    const bool Due = std::ranges::all_of(After, [&Of](std::int64_t Earlier) {
+      const StepState &Before = Of.Steps[static_cast<std::size_t>(Earlier)];
+      return Before.DoneUnits == Before.Units.size();
+    });
+    if (!Due)
+      continue;
+    Step.Unlocked = true;
+    for (Unit &Waiter : Step.Units) {
+      Waiter.ReadySince = Now;
+      if (Waiter.waiting())
+        this->Waiting.insert(&Waiter);
+    }
+  }
+}
+
+std::vector<Unit *> JobTable::placeable(Instant Now) {
+  std::vector<Unit *> Ready;
+  for (Unit *Of : this->Waiting)
+    if (Of->NotBefore <= Now)
+      Ready.push_back(Of);
+  return Ready;
+}
+
+std::vector<Unit *> JobTable::active() {
+  return {this->Active.begin(), this->Active.end()};
+}
+
+void JobTable::place(Unit &Of, std::span<const PlaceRecord> Places,
+                     Instant Now) {
+  ++Of.Run;
+  Of.PlacedAt = Now;
+  Of.Members.clear();
+  for (const PlaceRecord &Place : Places)
+    Of.Members.push_back({Place.Worker, Place.BornWallMs, MemberPhase::Recorded,
+                          false, Now, Instant{}});
+  this->occupy(Of);
+  this->markDirty(Of);
+  std::string Workers;
+  for (const PlaceRecord &Place : Places)
+    Workers += (Workers.empty() ? "" : ",") + Place.Worker;
+  this->note(TableEvent::Kind::Placed, Of.name(), std::move(Workers), Of.Run,
+             {}, (Now - Of.ReadySince).Ms);
+}
+
+void JobTable::occupy(Unit &Of) {
+  this->Waiting.erase(&Of);
+  this->Active.insert(&Of);
+  for (std::size_t Index = 0; Index < Of.Members.size(); ++Index)
+    this->OnWorker[Of.Members[Index].Worker].push_back({&Of, Index});
+}
+
+void JobTable::preempt(Unit &Of, Instant Now) {
+  ++Of.Preemptions;
+  this->stopMembers(Of, Now);
+}
+
+void JobTable::stopMembers(Unit &Of, Instant Now) {
+  bool Changed = false;
+  for (std::size_t Index = 0; Index < Of.Members.size(); ++Index) {
+    Member &Entry = Of.Members[Index];
+    if (Entry.Phase == MemberPhase::Gone || Entry.StopWanted)
+      continue;
+    Entry.StopWanted = true;
+    Changed = true;
+  }
+  if (Changed)
+    this->note(TableEvent::Kind::StopWanted, Of.name(), {}, Of.Run);
+  // Members whose order has not left yet need no stop.
+  for (std::size_t Index = 0; Index < Of.Members.size(); ++Index)
+    if (Of.Members[Index].Phase == MemberPhase::Recorded)
+      this->memberGone(Of, Index, Now);
+  this->settle(Of, Now);
+}
+
+bool JobTable::markSent(const MemberRef &Ref, std::int64_t Run, Instant Now) {
+  if (Ref.Of->Run != Run || Ref.Index >= Ref.Of->Members.size())
+    return false;
+  Member &Entry = Ref.member();
+  if (Entry.Phase != MemberPhase::Recorded)
+    return false;
+  Entry.Phase = MemberPhase::Sent;
+  Entry.Since = Now;
+  return true;
+}
+
+void JobTable::confirm(std::string_view Task, std::int64_t Run, Instant Now) {
+  const TaskPlace Place = this->findTask(Task);
+  if (!Place.Of || Place.Of->Run != Run ||
+      Place.Index >= Place.Of->Members.size())
+    return;
+  Member &Entry = Place.Of->Members[Place.Index];
+  const bool Expected =
+      Entry.Phase == MemberPhase::Sent || Entry.Phase == MemberPhase::Adopted;
+  if (!Expected)
+    return;
+  const Duration Took = Now - Entry.Since;
+  Entry.Phase = MemberPhase::Running;
+  Entry.Since = Now;
+  this->note(TableEvent::Kind::Confirmed, std::string(Task), Entry.Worker, Run,
+             {}, Took.Ms);
+  Job &Owner = *Place.Of->Owner;
+  if (Owner.Phase == JobPhase::Queued) {
+    Owner.Phase = JobPhase::Running;
+    this->DirtyPhases[Owner.Id] = {JobPhase::Running, 0};
+  }
+}
+
+void JobTable::refuse(std::string_view Task, std::int64_t Run, Instant Now,
+                      Duration Pause, std::string_view Reason) {
+  const TaskPlace Place = this->findTask(Task);
+  if (!Place.Of || Place.Of->Run != Run ||
+      Place.Index >= Place.Of->Members.size())
+    return;
+  Unit &Of = *Place.Of;
+  if (Of.Members[Place.Index].Phase != MemberPhase::Sent)
+    return;
+  this->note(TableEvent::Kind::Refused, std::string(Task),
+             Of.Members[Place.Index].Worker, Run, std::string(Reason));
+  Of.NotBefore = std::max(Of.NotBefore, Now + Pause);
+  this->memberGone(Of, Place.Index, Now);
+  this->stopMembers(Of, Now);
+}
+
+void JobTable::stopAccepted(std::string_view Task, std::int64_t Run,
+                            Instant Now) {
+  const TaskPlace Place = this->findTask(Task);
+  if (!Place.Of || Place.Of->Run != Run ||
+      Place.Index >= Place.Of->Members.size())
+    return;
+  Place.Of->Members[Place.Index].StopAcked = Now;
+}
+
+void JobTable::memberGone(Unit &Of, std::size_t Index, Instant Now) {
+  Member &Entry = Of.Members[Index];
+  if (Entry.Phase == MemberPhase::Gone)
+    return;
+  Entry.Phase = MemberPhase::Gone;
+  Entry.Since = Now;
+  auto &List = this->OnWorker[Entry.Worker];
+  std::erase_if(List, [&Of, Index](const MemberRef &Ref) {
+    return Ref.Of == &Of && Ref.Index == Index;
+  });
+}
+
+void JobTable::settle(Unit &Of, Instant Now) {
+  const bool AllGone = std::ranges::all_of(Of.Members, [](const Member &Entry) {
+    return Entry.Phase == MemberPhase::Gone;
+  });
+  if (Of.Members.empty() || !AllGone)
+    return;
+  Of.Members.clear();
+  this->Active.erase(&Of);
+  if (Of.Done || hasEnded(Of.Owner->Phase))
+    return;
+  Of.ReadySince = Now;
+  this->Waiting.insert(&Of);
+  this->markDirty(Of);
+}
+
+std::vector<RunningTask> JobTable::applyReport(std::string_view Worker,
+                                               const WorkerReport &Report,
+                                               Instant AskedAt, Instant Now,
+                                               std::int64_t WallMs) {
+  std::vector<RunningTask> Unwanted;
+  std::set<std::pair<Unit *, std::size_t>> Seen;
+  for (const RunningTask &Task : Report.Running) {
+    const TaskPlace Place = this->findTask(Task.Task);
+    const bool Ours = Place.Of && Place.Of->Run == Task.Run &&
+                      Place.Index < Place.Of->Members.size() &&
+                      Place.Of->Members[Place.Index].Worker == Worker &&
+                      Place.Of->Members[Place.Index].Phase != MemberPhase::Gone;
+    if (!Ours) {
+      Unwanted.push_back(Task);
+      continue;
+    }
+    Seen.insert({Place.Of, Place.Index});
+    if (!Task.Checkpoint.empty())
+      Place.Of->Checkpoint = Task.Checkpoint;
+    this->confirm(Task.Task, Task.Run, Now);
+  }
+  for (const EndedRun &End : Report.Ended) {
+    const TaskPlace Place = this->findTask(End.Task);
+    const bool Current = Place.Of && Place.Of->Run == End.Run &&
+                         Place.Index < Place.Of->Members.size() &&
+                         Place.Of->Members[Place.Index].Worker == Worker;
+    if (Current)
+      this->applyEnd(*Place.Of, Place.Index, End, Now, WallMs);
+  }
+  const auto Listed = this->OnWorker.find(std::string(Worker));
+  if (Listed == this->OnWorker.end())
+    return Unwanted;
+  const std::vector<MemberRef> Members = Listed->second;
+  for (const MemberRef &Ref : Members) {
+    if (Ref.Index >= Ref.Of->Members.size() ||
+        Seen.contains({Ref.Of, Ref.Index}))
+      continue;
+    const Member &Entry = Ref.member();
+    const bool ConfirmedBefore =
+        Entry.Phase == MemberPhase::Running && Entry.Since < AskedAt;
+    const bool StoppedBefore =
+        Entry.StopAcked.Ms > 0 && Entry.StopAcked < AskedAt;
+    // Orders of an earlier owner that are not there are refused from now on,
+    // since the worker has seen the newer epoch.
+    const bool Fenced = Entry.Phase == MemberPhase::Adopted;
+    if (!ConfirmedBefore && !StoppedBefore && !Fenced)
+      continue;
+    this->note(TableEvent::Kind::Vanished, Ref.Of->taskName(Ref.Index),
+               std::string(Worker), Ref.Of->Run);
+    this->memberGone(*Ref.Of, Ref.Index, Now);
+    this->stopMembers(*Ref.Of, Now);
+  }
+  return Unwanted;
+}
+
+void JobTable::applyEnd(Unit &Of, std::size_t Index, const EndedRun &End,
+                        Instant Now, std::int64_t WallMs) {
+  if (Of.Members[Index].Phase == MemberPhase::Gone)
+    return;
+  this->note(TableEvent::Kind::Ended, End.Task, Of.Members[Index].Worker,
+             End.Run, std::string(endName(End.How)), (Now - Of.PlacedAt).Ms);
+  if (End.How == RunEnd::Done && Of.Checkpoint.empty()) {
+    this->Events.back().Queue = Of.Owner->Submission.Queue;
+    this->Events.back().EstimatedMs = Of.spec().EstimatedMs;
+  }
+  if (!End.Checkpoint.empty())
+    Of.Checkpoint = End.Checkpoint;
+  if (End.How == RunEnd::Failed && !Of.Done) {
+    // Several members of one run may fail; the run counts once.
+    if (Of.FailedRun != End.Run)
+      ++Of.Failures;
+    Of.FailedRun = End.Run;
+    Of.FailedOn.insert(Of.Members[Index].Worker);
+    Of.NotBefore = std::max(Of.NotBefore, Now + PauseAfterFailure);
+  }
+  this->memberGone(Of, Index, Now);
+  this->markDirty(Of);
+  const bool Done = End.How == RunEnd::Done && !Of.spec().LongRunning;
+  if (Done && !Of.Done)
+    this->unitDone(Of, Now, WallMs);
+  else if (!Of.Done)
+    this->stopMembers(Of, Now);
+  const std::int64_t Budget = Of.Owner->Submission.Terms.MaxAttempts;
+  if (!Of.Done && !Of.spec().LongRunning && Of.Failures >= Budget &&
+      !hasEnded(Of.Owner->Phase))
+    this->endJob(*Of.Owner, JobPhase::Failed, WallMs, Now, "attempts");
+  this->settle(Of, Now);
+}
+
+void JobTable::unitDone(Unit &Of, Instant Now, std::int64_t WallMs) {
+  Of.Done = true;
+  this->Waiting.erase(&Of);
+  this->markDirty(Of);
+  this->note(TableEvent::Kind::UnitDone, Of.name(), {}, Of.Run, {},
+             (Now - Of.PlacedAt).Ms);
+  Job &Owner = *Of.Owner;
+  Occurrence &In = Owner.Occurrences.at(Of.Occurrence);
+  StepState &Step = In.Steps[Of.Step];
+  if (++Step.DoneUnits < Step.Units.size())
+    return;
+  if (++In.DoneSteps < In.Steps.size()) {
+    this->unlockSteps(Owner, In, Now);
+    return;
+  }
+  const std::int64_t Total =
+      std::max<std::int64_t>(Owner.Submission.Job.Occurrences, 1);
+  if (++Owner.EndedOccurrences >= Total && !hasEnded(Owner.Phase))
+    this->endJob(Owner, JobPhase::Completed, WallMs, Now, "done");
+}
+
+void JobTable::endJob(Job &Owner, JobPhase Phase, std::int64_t WallMs,
+                      Instant Now, std::string_view Reason) {
+  Owner.Phase = Phase;
+  Owner.EndedWallMs = WallMs;
+  this->Unfinished.erase(Owner.Id);
+  this->DirtyPhases[Owner.Id] = {Phase, WallMs};
+  this->note(TableEvent::Kind::JobEnded, Owner.Id, {}, 0,
+             std::string(toString(Phase)) + " " + std::string(Reason),
+             (Now - Owner.AcceptedAt).Ms);
+  for (auto &[Number, Of] : Owner.Occurrences)
+    for (StepState &Step : Of.Steps)
+      for (Unit &Entry : Step.Units) {
+        this->Waiting.erase(&Entry);
+        if (!Entry.Done)
+          this->stopMembers(Entry, Now);
+        const std::string Name = Entry.name();
+        this->DirtyUnits.erase(Name);
+        if (this->RecordedUnits.erase(Name) > 0)
+          this->DroppedKeys.push_back(unitKey(Name));
+      }
+}
+
+void JobTable::workerReborn(std::string_view Worker, std::int64_t BornWallMs,
+                            Instant Now) {
+  const auto Listed = this->OnWorker.find(std::string(Worker));
+  if (Listed == this->OnWorker.end())
+    return;
+  const std::vector<MemberRef> Members = Listed->second;
+  for (const MemberRef &Ref : Members) {
+    if (Ref.Index >= Ref.Of->Members.size())
+      continue;
+    Member &Entry = Ref.member();
+    if (Entry.BornWallMs == BornWallMs || Entry.Phase == MemberPhase::Gone)
+      continue;
+    // An order on its way may reach the new life and be carried out there.
+    const bool OnItsWay = Entry.Phase == MemberPhase::Sent ||
+                          Entry.Phase == MemberPhase::Recorded;
+    if (OnItsWay) {
+      Entry.BornWallMs = BornWallMs;
+      continue;
+    }
+    this->note(TableEvent::Kind::Vanished, Ref.Of->taskName(Ref.Index),
+               std::string(Worker), Ref.Of->Run, "reborn");
+    this->memberGone(*Ref.Of, Ref.Index, Now);
+    this->stopMembers(*Ref.Of, Now);
+  }
+}
+
+void JobTable::workerLost(std::string_view Worker, Instant Now,
+                          std::string_view Reason) {
+  const auto Listed = this->OnWorker.find(std::string(Worker));
+  if (Listed == this->OnWorker.end())
+    return;
+  const std::vector<MemberRef> Members = Listed->second;
+  for (const MemberRef &Ref : Members) {
+    if (Ref.Index >= Ref.Of->Members.size())
+      continue;
+    this->note(TableEvent::Kind::Vanished, Ref.Of->taskName(Ref.Index),
+               std::string(Worker), Ref.Of->Run, std::string(Reason));
+    this->memberGone(*Ref.Of, Ref.Index, Now);
+    this->stopMembers(*Ref.Of, Now);
+  }
+}
+
+std::span<const MemberRef> JobTable::membersOn(std::string_view Worker) const {
+  const auto Found = this->OnWorker.find(std::string(Worker));
+  if (Found == this->OnWorker.end())
+    return {};
+  return Found->second;
+}
+
+Demand JobTable::usedOn(std::string_view Worker) const {
+  Demand Used;
+  for (const MemberRef &Ref : this->membersOn(Worker)) {
+    Demand Each = Ref.Of->spec().Each;
+    if (Ref.Of->spec().FillsIdleCpu)
+      Each.MilliCores = 0;
+    Used = plus(Used, Each);
+  }
+  return Used;
+}
+
+void JobTable::markDirty(const Unit &Of) {
+  if (!hasEnded(Of.Owner->Phase))
+    this->DirtyUnits[Of.name()] = recordOf(Of);
+}
+
+bool JobTable::dirty() const {
+  return !this->DirtyUnits.empty() || !this->DirtyPhases.empty() ||
+         !this->DroppedKeys.empty();
+}
+
+std::vector<JournalRecord> JobTable::takeRecords() {
+  std::vector<JournalRecord> Records;
+  for (const auto &[Name, Record] : this->DirtyUnits) {
+    this->RecordedUnits.insert(Name);
+    Records.push_back({unitKey(Name), encodeRecord(Record)});
+  }
+  for (const auto &[Id, Record] : this->DirtyPhases)
+    Records.push_back({phaseKey(Id), encodeRecord(Record)});
+  for (std::string &Key : this->DroppedKeys)
+    Records.push_back({std::move(Key), {}});
+  this->DirtyUnits.clear();
+  this->DirtyPhases.clear();
+  this->DroppedKeys.clear();
+  return Records;
+}
+
+std::vector<TableEvent> JobTable::takeEvents() {
+  return std::exchange(this->Events, {});
+}
+
+void JobTable::expire(std::int64_t BeforeWallMs) {
+  for (auto Entry = this->Jobs.begin(); Entry != this->Jobs.end();) {
+    const Job &Owner = Entry->second;
+    const bool StillThere = std::ranges::any_of(
+        this->Active, [&Owner](const Unit *Of) { return Of->Owner == &Owner; });
+    const bool Old = hasEnded(Owner.Phase) && Owner.EndedWallMs > 0 &&
+                     Owner.EndedWallMs < BeforeWallMs;
+    if (!Old || StillThere) {
+      ++Entry;
+      continue;
+    }
+    this->DroppedKeys.push_back(submissionKey(Owner.Id));
+    this->DroppedKeys.push_back(cancellationKey(Owner.Id));
+    this->DroppedKeys.push_back(phaseKey(Owner.Id));
+    Entry = this->Jobs.erase(Entry);
+  }
+}
+
+void JobTable::note(TableEvent::Kind What, std::string Subject,
+                    std::string Worker, std::int64_t Run, std::string Detail,
+                    std::int64_t Ms) {
+  this->Events.push_back({What, std::move(Subject), std::move(Worker), Run,
+                          std::move(Detail), Ms});
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/sched/placement.cpp
@@ -0,0 +1,407 @@
+#include "pistachioflow/sched/placement.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace pistachioflow {
+
+namespace {
+
+constexpr std::int64_t NoLimit = std::numeric_limits<std::int64_t>::max() / 4;
+
+using Rooms = std::span<WorkerRoom>;
+using Choice = std::vector<std::size_t>;
+
+Demand countedDemand(const StepSpec &Step) {
+  Demand Each = Step.Each;
+  if (Step.FillsIdleCpu)
+    Each.MilliCores = 0;
+  return Each;
+}
+
+bool eligible(const WorkerRoom &Room, const WaitingUnit &Unit) {
+  if (!Room.Usable || Room.Service != Unit.Service)
+    return false;
+  const std::string &Label = Unit.Step->RequiredLabel;
+  return Label.empty() ||
+         std::ranges::find(Room.Labels, Label) != Room.Labels.end();
+}
+
+bool avoided(const WorkerRoom &Room, const WaitingUnit &Unit) {
+  return Room.Doubted || (Unit.Avoided && Unit.Avoided->contains(Room.Id));
+}
+
+/// How many tasks of the unit may still go to a worker by the step's limit.
+std::int64_t spreadLimit(const WorkerRoom &Room, const WaitingUnit &Unit) {
+  if (Unit.Step->MaxPerWorker <= 0)
+    return NoLimit;
+  const auto Held = std::ranges::count(Unit.SameStepOn, Room.Id);
+  return std::max<std::int64_t>(Unit.Step->MaxPerWorker - Held, 0);
+}
+
+std::int64_t tasksFor(const WorkerRoom &Room, const WaitingUnit &Unit,
+                      const Demand &Available) {
+  return std::min(fittingTasks(Available, countedDemand(*Unit.Step)),
+                  spreadLimit(Room, Unit));
+}
+
+/// A worker with the number of the unit's tasks that fit on it.
+struct Candidate {
+  std::size_t Room = 0;
+  std::int64_t Tasks = 0;
+  std::int64_t Leftover = 0; ///< Accelerators free after one task.
+  std::int64_t LeftoverCores = 0;
+  bool Avoided = false;
+};
+
+bool betterCandidate(const Candidate &Left, const Candidate &Right) {
+  if (Left.Avoided != Right.Avoided)
+    return !Left.Avoided;
+  if (Left.Leftover != Right.Leftover)
+    return Left.Leftover < Right.Leftover;
+  return Left.LeftoverCores < Right.LeftoverCores;
+}
+
+std::vector<Candidate> candidates(Rooms List, const WaitingUnit &Unit,
+                                  Demand WorkerRoom::*Which) {
+  std::vector<Candidate> Found;
+  for (std::size_t Index = 0; Index < List.size(); ++Index) {
+    const WorkerRoom &Room = List[Index];
+    if (!eligible(Room, Unit))
+      continue;
+    const Demand &Available = Room.*Which;
+    const std::int64_t Tasks = tasksFor(Room, Unit, Available);
+    if (Tasks <= 0)
+      continue;
+    const Demand &Each = Unit.Step->Each;
+    Found.push_back({Index, Tasks, Available.Accelerators - Each.Accelerators,
+                     Available.MilliCores - Each.MilliCores,
+                     avoided(Room, Unit)});
+  }
+  std::ranges::stable_sort(Found, betterCandidate);
+  return Found;
+}
+
+/// Takes the best candidates until every task has a worker.
+std::optional<Choice> fill(std::span<const Candidate> List,
+                           std::int64_t Tasks) {
+  Choice Chosen;
+  for (const Candidate &Entry : List) {
+    const std::int64_t Missing =
+        Tasks - static_cast<std::int64_t>(Chosen.size());
+    const std::int64_t Taken = std::min(Missing, Entry.Tasks);
+    Chosen.insert(Chosen.end(), static_cast<std::size_t>(Taken), Entry.Room);
+    if (static_cast<std::int64_t>(Chosen.size()) == Tasks)
+      return Chosen;
+  }
+  return std::nullopt;
+}
+
+/// The racks a unit may use, the best first. Empty names mean any worker.
+std::vector<std::string> allowedRacks(Rooms List, const WaitingUnit &Unit) {
+  std::map<std::string, std::int64_t> WholeRoom;
+  for (const WorkerRoom &Room : List)
+    if (eligible(Room, Unit))
+      WholeRoom[Room.Rack] += tasksFor(Room, Unit, Room.Capacity);
+  const std::string &DataRack = Unit.Step->DataRack;
+  const auto Data = WholeRoom.find(DataRack);
+  const bool DataRackExists =
+      !DataRack.empty() && Data != WholeRoom.end() && Data->second > 0;
+  if (DataRackExists && (!Unit.Step->Gang || Data->second >= Unit.TaskCount))
+    return {DataRack};
+  const bool OneRack =
+      Unit.Step->Gang && Unit.Step->TightlyCoupled && Unit.TaskCount > 1;
+  if (!OneRack)
+    return {};
+  std::vector<std::string> Racks;
+  for (const auto &[Rack, Tasks] : WholeRoom)
+    if (Tasks >= Unit.TaskCount)
+      Racks.push_back(Rack);
+  return Racks;
+}
+
+/// Chooses workers from the free (or soon free) room. On several racks the one
+/// that is left with the least room wins.
+std::optional<Choice> choose(Rooms List, const WaitingUnit &Unit,
+                             std::span<const std::string> Racks,
+                             Demand WorkerRoom::*Which) {
+  const std::vector<Candidate> All = candidates(List, Unit, Which);
+  if (Racks.empty())
+    return fill(All, Unit.TaskCount);
+  std::optional<Choice> Best;
+  std::int64_t BestRoom = NoLimit;
+  for (const std::string &Rack : Racks) {
+    std::vector<Candidate> Inside;
+    std::int64_t Room = 0;
+    for (const Candidate &Entry : All) {
+      if (List[Entry.Room].Rack != Rack)
+        continue;
+      Inside.push_back(Entry);
+      Room += Entry.Tasks + (Entry.Avoided ? Unit.TaskCount : 0);
+    }
+    std::optional<Choice> Chosen = fill(Inside, Unit.TaskCount);
+    if (!Chosen || Room >= BestRoom)
+      continue;
+    Best = std::move(Chosen);
+    BestRoom = Room;
+  }
+  return Best;
+}
+
+void take(Rooms List, const Choice &Chosen, const Demand &Each) {
+  for (const std::size_t Index : Chosen) {
+    List[Index].Free = List[Index].Free - Each;
+    List[Index].Soon = List[Index].Soon - Each;
+  }
+}
+
+/// Room taken from others for one unit, and what that costs.
+struct Eviction {
+  Choice Chosen;
+  std::vector<std::size_t> Victims;
+  double Cost = 0;
+};
+
+/// Plans evictions for one unit at a time.
+class EvictionPlanner {
+public:
+  EvictionPlanner(Rooms List, std::span<const PlacedUnit> Placed,
+                  std::span<const bool> Stopping, const WaitingUnit &Unit)
+      : List(List), Placed(Placed), Unit(Unit), Each(countedDemand(*Unit.Step)),
+        VictimsOn(List.size()) {
+    for (std::size_t Index = 0; Index < Placed.size(); ++Index) {
+      if (Stopping[Index] || !this->mayEvict(Placed[Index]))
+        continue;
+      for (const std::size_t Room : Placed[Index].Rooms)
+        if (this->VictimsOn[Room].empty() ||
+            this->VictimsOn[Room].back() != Index)
+          this->VictimsOn[Room].push_back(Index);
+    }
+    for (auto &Victims : this->VictimsOn)
+      std::ranges::stable_sort(
+          Victims, {}, [this](std::size_t Index) { return this->cost(Index); });
+  }
+
+  /// The cheapest eviction on workers of \p Rack; empty means any rack.
+  std::optional<Eviction> plan(std::string_view Rack) const {
+    Eviction Made;
+    std::vector<Demand> Available;
+    for (const WorkerRoom &Room : this->List)
+      Available.push_back(Room.Soon);
+    std::vector<std::int64_t> Hosted(this->List.size(), 0);
+    while (static_cast<std::int64_t>(Made.Chosen.size()) < this->Unit.TaskCount)
+      if (!this->hostOne(Rack, Available, Hosted, Made))
+        return std::nullopt;
+    return Made;
+  }
+
+private:
+  struct Step {
+    std::size_t Room = 0;
+    std::vector<std::size_t> Victims;
+    double Cost = std::numeric_limits<double>::infinity();
+    std::int64_t Leftover = 0;
+  };
+
+  bool mayEvict(const PlacedUnit &Other) const {
+    if (Other.Priority > this->Unit.Priority)
+      return true;
+    return Other.Priority == this->Unit.Priority &&
+           this->Unit.WithinGuarantee && Other.BeyondGuarantee &&
+           Other.Workspace != this->Unit.Workspace;
+  }
+
+  /// A start costs even where no work is lost yet.
+  double cost(std::size_t Index) const {
+    constexpr double PerTask = 1.0;
+    const PlacedUnit &Other = this->Placed[Index];
+    return Other.LostWork + PerTask * static_cast<double>(Other.Rooms.size());
+  }
+
+  Demand freedOn(std::size_t Victim, std::size_t Room) const {
+    Demand Freed;
+    for (const std::size_t Held : this->Placed[Victim].Rooms)
+      if (Held == Room)
+        Freed = Freed + this->Placed[Victim].Each;
+    return Freed;
+  }
+
+  Step cheapestOn(std::size_t Room, Demand Available,
+                  const Eviction &Made) const {
+    Step Found{Room};
+    double Cost = 0;
+    for (const std::size_t Victim : this->VictimsOn[Room]) {
+      if (fittingTasks(Available, this->Each) > 0)
+        break;
+      if (std::ranges::find(Made.Victims, Victim) != Made.Victims.end())
+        continue;
+      Available = Available + this->freedOn(Victim, Room);
+      Cost += this->cost(Victim);
+      Found.Victims.push_back(Victim);
+    }
+    if (fittingTasks(Available, this->Each) <= 0)
+      return Found;
+    Found.Cost = Cost + (avoided(this->List[Room], this->Unit) ? 1e6 : 0);
+    Found.Leftover = Available.Accelerators - this->Each.Accelerators;
+    return Found;
+  }
+
+  bool hostOne(std::string_view Rack, std::vector<Demand> &Available,
+               std::vector<std::int64_t> &Hosted, Eviction &Made) const {
+    Step Best;
+    for (std::size_t Room = 0; Room < this->List.size(); ++Room) {
+      const bool Allowed =
+          eligible(this->List[Room], this->Unit) &&
+          (Rack.empty() || this->List[Room].Rack == Rack) &&
+          Hosted[Room] < spreadLimit(this->List[Room], this->Unit);
+      if (!Allowed)
+        continue;
+      Step Found = this->cheapestOn(Room, Available[Room], Made);
+      if (Found.Cost < Best.Cost ||
+          (Found.Cost == Best.Cost && Found.Leftover < Best.Leftover))
+        Best = std::move(Found);
+    }
+    if (Best.Cost == std::numeric_limits<double>::infinity())
+      return false;
+    for (const std::size_t Victim : Best.Victims) {
+      Made.Victims.push_back(Victim);
+      for (const std::size_t Held : this->Placed[Victim].Rooms)
+        Available[Held] = Available[Held] + this->Placed[Victim].Each;
+    }
+    Available[Best.Room] = Available[Best.Room] - this->Each;
+    ++Hosted[Best.Room];
+    Made.Chosen.push_back(Best.Room);
+    Made.Cost += Best.Cost;
+    return true;
+  }
+
+  Rooms List;
+  std::span<const PlacedUnit> Placed;
+  const WaitingUnit &Unit;
+  Demand Each;
+  std::vector<std::vector<std::size_t>> VictimsOn;
+};
+
+std::optional<Eviction> cheapestEviction(const EvictionPlanner &Planner,
+                                         std::span<const std::string> Racks) {
+  if (Racks.empty())
+    return Planner.plan({});
+  std::optional<Eviction> Best;
+  for (const std::string &Rack : Racks) {
+    std::optional<Eviction> Made = Planner.plan(Rack);
+    if (Made && (!Best || Made->Cost < Best->Cost))
+      Best = std::move(Made);
+  }
+  return Best;
+}
+
+/// One round of placement over a working copy of the rooms.
+class Round {
+public:
+  Round(Rooms List, std::span<const WaitingUnit> Waiting,
+        std::span<const PlacedUnit> Placed)
+      : List(List), Waiting(Waiting), Placed(Placed),
+        Stopping(std::make_unique<bool[]>(Placed.size())) {
+    for (std::size_t Index = 0; Index < Placed.size(); ++Index)
+      this->Stopping[Index] = Placed[Index].Stopping;
+  }
+
+  PlacementPlan run() {
+    for (std::size_t Index = 0; Index < this->Waiting.size(); ++Index) {
+      const WaitingUnit &Unit = this->Waiting[Index];
+      // Tasks of a step are alike: where one is blocked, so are the others.
+      if (Unit.Step == this->BlockedStep)
+        continue;
+      if (!this->serve(Index)) {
+        this->Plan.Blocked.push_back(Index);
+        if (!Unit.Step->Gang && Unit.Priority > 0)
+          this->BlockedStep = Unit.Step;
+      }
+    }
+    return std::move(this->Plan);
+  }
+
+private:
+  /// Returns whether the unit starts.
+  bool serve(std::size_t Index) {
+    const WaitingUnit &Unit = this->Waiting[Index];
+    const Demand Each = countedDemand(*Unit.Step);
+    const std::vector<std::string> Racks = allowedRacks(this->List, Unit);
+    if (auto Chosen = choose(this->List, Unit, Racks, &WorkerRoom::Free)) {
+      take(this->List, *Chosen, Each);
+      this->Plan.Starts.push_back({Index, std::move(*Chosen)});
+      return true;
+    }
+    if (auto Later = choose(this->List, Unit, Racks, &WorkerRoom::Soon)) {
+      take(this->List, *Later, Each);
+      return false;
+    }
+    if (Unit.Priority == 0)
+      this->evictFor(Unit, Racks);
+    return false;
+  }
+
+  void evictFor(const WaitingUnit &Unit, std::span<const std::string> Racks) {
+    const EvictionPlanner Planner(
+        this->List, this->Placed,
+        std::span<const bool>(this->Stopping.get(), this->Placed.size()), Unit);
+    const std::optional<Eviction> Made = cheapestEviction(Planner, Racks);
+    if (!Made)
+      return;
+    for (const std::size_t Victim : Made->Victims) {
+      this->Stopping[Victim] = true;
+      this->Plan.Preempted.push_back(Victim);
+      for (const std::size_t Room : this->Placed[Victim].Rooms)
+        this->List[Room].Soon =
+            this->List[Room].Soon + this->Placed[Victim].Each;
+    }
+    take(this->List, Made->Chosen, countedDemand(*Unit.Step));
+  }
+
+  Rooms List;
+  std::span<const WaitingUnit> Waiting;
+  std::span<const PlacedUnit> Placed;
+  std::unique_ptr<bool[]> Stopping;
+  const StepSpec *BlockedStep = nullptr;
+  PlacementPlan Plan;
+};
+
+} // namespace
+
+std::int64_t fittingTasks(const Demand &Room, const Demand &Each) {
+  std::int64_t Tasks = NoLimit;
+  const auto Bound = [&Tasks](std::int64_t Have, std::int64_t Need) {
+    if (Need > 0)
+      Tasks = std::min(Tasks, std::max<std::int64_t>(Have, 0) / Need);
+  };
+  Bound(Room.MilliCores, Each.MilliCores);
+  Bound(Room.MemoryMb, Each.MemoryMb);
+  Bound(Room.Accelerators, Each.Accelerators);
+  return Tasks;
+}
+
+Demand operator+(Demand Left, const Demand &Right) {
+  Left.MilliCores += Right.MilliCores;
+  Left.MemoryMb += Right.MemoryMb;
+  Left.Accelerators += Right.Accelerators;
+  return Left;
+}
+
+Demand operator-(Demand Left, const Demand &Right) {
+  Left.MilliCores -= Right.MilliCores;
+  Left.MemoryMb -= Right.MemoryMb;
+  Left.Accelerators -= Right.Accelerators;
+  return Left;
+}
+
+PlacementPlan planPlacement(std::span<WorkerRoom> Rooms,
+                            std::span<const WaitingUnit> Waiting,
+                            std::span<const PlacedUnit> Placed) {
+  return Round(Rooms, Waiting, Placed).run();
+}
+
+} // namespace pistachioflow
--- a/src/pistachioflow/standin/log_routes.cpp
+++ b/src/pistachioflow/standin/log_routes.cpp
@@ -3,7 +3,7 @@
 
 #include <httplib.h>
 
-#include "pistachioflow/platform/wire.hpp"
+#include "pistachioflow/clients/wire.hpp"
 #include "pistachioflow/standin/parts.hpp"
 
 namespace pistachioflow::standin {
--- a/src/pistachioflow/standin/platform_clients_test.cpp
+++ b/src/pistachioflow/standin/platform_clients_test.cpp
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "pistachioflow/platform/http_clients.hpp"
+#include "pistachioflow/clients/http_clients.hpp"
 #include "pistachioflow/standin/server.hpp"
 
 using namespace pistachioflow;
--- a/tests/process.cpp
+++ b/tests/process.cpp
@@ -17,7 +17,7 @@
 
 #include <httplib.h>
 
-#include "pistachioflow/platform/http_clients.hpp"
+#include "pistachioflow/clients/http_clients.hpp"
 
 extern char **environ;
 
