Count a step's tasks of the same round against its limit for each worker

Change: units of one step's occurrence form a group; a start in a round counts for the units behind it. Test: 'a step's limit for each worker holds within one round'.

--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -34,8 +34,9 @@
   const StepSpec *Step = nullptr;
   std::int64_t TaskCount = 1;
   const std::set<std::string, std::less<>> *Avoided = nullptr;
-  /// Workers that already hold tasks of a step with a limit for each worker.
-  std::vector<std::string> SameStepOn;
+  std::size_t Group = 0; ///< Units of the same step of one occurrence share it.
+  /// Workers that already hold tasks of a group with a limit for each worker.
+  std::vector<std::string> GroupOn;
   bool WithinGuarantee = false;
   std::int64_t ExpectedMs = 0; ///< How long it will probably run.
   bool MayReserve = false;     ///< Kept from starving by a reservation.
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -154,7 +154,7 @@
     for (const Unit &Sibling : Step.Units)
       for (const Member &At : Sibling.Members)
         if (At.Phase != MemberPhase::Gone)
-          Entry.SameStepOn.push_back(At.Worker);
+          Entry.GroupOn.push_back(At.Worker);
   }
   return Entry;
 }
@@ -222,8 +222,14 @@
   const std::vector<PlacedUnit> Placed =
       collectPlaced(View, Active, Rooms, Use);
   std::vector<WaitingUnit> Waiting;
-  for (const Unit *Of : Units)
+  std::map<const StepState *, std::size_t> Groups;
+  for (const Unit *Of : Units) {
     Waiting.push_back(describe(View, *Of, Use));
+    const StepState *Step =
+        &Of->Owner->Occurrences.at(Of->Occurrence).Steps[Of->Step];
+    Waiting.back().Group =
+        Groups.try_emplace(Step, Groups.size()).first->second;
+  }
   const PlacementPlan Plan = planPlacement(Rooms, Waiting, Placed);
   for (const PlannedStart &Start : Plan.Starts) {
     UnitPlacement Entry{Units[Start.Unit], {}};
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::int64_t NoLimit = std::numeric_limits<std::int64_t>::max() / 4;
 
+constexpr std::size_t NoGroup = std::numeric_limits<std::size_t>::max();
+
 using Rooms = std::span<WorkerRoom>;
 using Choice = std::vector<std::size_t>;
 
@@ -39,7 +41,7 @@
 std::int64_t spreadLimit(const WorkerRoom &Room, const WaitingUnit &Unit) {
   if (Unit.Step->MaxPerWorker <= 0)
     return NoLimit;
-  const auto Held = std::ranges::count(Unit.SameStepOn, Room.Id);
+  const auto Held = std::ranges::count(Unit.GroupOn, Room.Id);
   return std::max<std::int64_t>(Unit.Step->MaxPerWorker - Held, 0);
 }
 
@@ -304,7 +306,7 @@
 public:
   Round(Rooms List, std::span<const WaitingUnit> Waiting,
         std::span<const PlacedUnit> Placed)
-      : List(List), Waiting(Waiting), Placed(Placed),
+      : List(List), Waiting(Waiting.begin(), Waiting.end()), Placed(Placed),
         Stopping(std::make_unique<bool[]>(Placed.size())) {
     for (std::size_t Index = 0; Index < Placed.size(); ++Index)
       this->Stopping[Index] = Placed[Index].Stopping;
@@ -313,13 +315,13 @@
   PlacementPlan run() {
     for (std::size_t Index = 0; Index < this->Waiting.size(); ++Index) {
       const WaitingUnit &Unit = this->Waiting[Index];
-      // Tasks of a step are alike: where one is blocked, so are the others.
-      if (Unit.Step == this->BlockedStep)
+      // Tasks of a group are alike: where one is blocked, so are the others.
+      if (Unit.Group == this->BlockedGroup)
         continue;
       if (!this->serve(Index)) {
         this->Plan.Blocked.push_back(Index);
         if (!Unit.Step->Gang && Unit.Priority > 0)
-          this->BlockedStep = Unit.Step;
+          this->BlockedGroup = Unit.Group;
       }
     }
     return std::move(this->Plan);
@@ -333,6 +335,7 @@
     const std::vector<std::string> Racks = allowedRacks(this->List, Unit);
     if (auto Chosen = choose(this->List, Unit, Racks, &WorkerRoom::Free)) {
       take(this->List, *Chosen, Each);
+      this->countInGroup(Index, *Chosen);
       this->Plan.Starts.push_back({Index, std::move(*Chosen)});
       return true;
     }
@@ -345,6 +348,17 @@
     return false;
   }
 
+  /// Units behind this one of the same group see where it went.
+  void countInGroup(std::size_t Index, const Choice &Chosen) {
+    const WaitingUnit &Unit = this->Waiting[Index];
+    if (Unit.Step->MaxPerWorker <= 0)
+      return;
+    for (std::size_t Next = Index + 1; Next < this->Waiting.size(); ++Next)
+      if (this->Waiting[Next].Group == Unit.Group)
+        for (const std::size_t Room : Chosen)
+          this->Waiting[Next].GroupOn.push_back(this->List[Room].Id);
+  }
+
   void evictFor(const WaitingUnit &Unit, std::span<const std::string> Racks) {
     const EvictionPlanner Planner(
         this->List, this->Placed,
@@ -363,10 +377,10 @@
   }
 
   Rooms List;
-  std::span<const WaitingUnit> Waiting;
+  std::vector<WaitingUnit> Waiting;
   std::span<const PlacedUnit> Placed;
   std::unique_ptr<bool[]> Stopping;
-  const StepSpec *BlockedStep = nullptr;
+  std::size_t BlockedGroup = NoGroup;
   PlacementPlan Plan;
 };
 
--- /dev/null
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -0,0 +1,158 @@
+#include "pistachioflow/sched/placement.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace pistachioflow {
+
+namespace {
+
+constexpr Demand WholeWorker{64'000, 131'072, 8};
+
+std::vector<WorkerRoom> makeRooms(std::size_t Count, std::size_t EachRack) {
+  std::vector<WorkerRoom> Rooms;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    WorkerRoom Room;
+    Room.Id = "w" + std::to_string(Index);
+    Room.Service = "svc";
+    Room.Rack = "r" + std::to_string(Index / EachRack);
+    Room.Labels = {"a", Room.Rack};
+    Room.Capacity = WholeWorker;
+    Room.Free = WholeWorker;
+    Room.Soon = WholeWorker;
+    Rooms.push_back(std::move(Room));
+  }
+  return Rooms;
+}
+
+StepSpec makeStep(std::int64_t Tasks, Demand Each, bool Gang, bool Tight) {
+  StepSpec Step;
+  Step.TaskCount = Tasks;
+  Step.Each = Each;
+  Step.Gang = Gang;
+  Step.TightlyCoupled = Tight;
+  return Step;
+}
+
+WaitingUnit makeUnit(const StepSpec &Step, std::int64_t Priority) {
+  WaitingUnit Unit;
+  Unit.Service = "svc";
+  Unit.Workspace = "team";
+  Unit.Priority = Priority;
+  Unit.Step = &Step;
+  Unit.TaskCount = Step.Gang ? Step.TaskCount : 1;
+  return Unit;
+}
+
+/// A unit that fills each of its rooms.
+PlacedUnit fillRooms(std::vector<WorkerRoom> &Rooms,
+                     std::vector<std::size_t> On, std::int64_t Priority,
+                     double LostWork) {
+  PlacedUnit Placed;
+  Placed.Workspace = "other";
+  Placed.Priority = Priority;
+  Placed.Each = WholeWorker;
+  Placed.LostWork = LostWork;
+  for (const std::size_t Room : On) {
+    Rooms[Room].Free = {};
+    Rooms[Room].Soon = {};
+  }
+  Placed.Rooms = std::move(On);
+  return Placed;
+}
+
+} // namespace
+
+TEST_CASE("fittingTasks takes the scarcest resource") {
+  struct Row {
+    Demand Room;
+    Demand Each;
+    std::int64_t Tasks;
+  };
+  const auto Case = GENERATE(
+      Row{{1'000, 100, 4}, {500, 10, 1}, 2}, Row{{1'000, 100, 1}, {1, 1, 1}, 1},
+      Row{{1'000, 15, 4}, {500, 10, 1}, 1}, Row{{-5, 100, 4}, {500, 10, 1}, 0},
+      Row{{1'000, 100, 0}, {500, 10, 0}, 2});
+  REQUIRE(fittingTasks(Case.Room, Case.Each) == Case.Tasks);
+}
+
+TEST_CASE("a step's limit for each worker holds within one round") {
+  const auto Limit = GENERATE(std::int64_t{1}, std::int64_t{2});
+  auto Rooms = makeRooms(3, 3);
+  StepSpec Step = makeStep(8, {1'000, 100, 1}, false, false);
+  Step.MaxPerWorker = Limit;
+  const std::vector<WaitingUnit> Waiting(8, makeUnit(Step, 2));
+  const PlacementPlan Plan = planPlacement(Rooms, Waiting, {});
+  std::vector<std::int64_t> Tasks(Rooms.size(), 0);
+  for (const PlannedStart &Start : Plan.Starts)
+    for (const std::size_t Room : Start.Rooms)
+      ++Tasks[Room];
+  REQUIRE(std::ranges::max(Tasks) == Limit);
+  REQUIRE(Plan.Starts.size() == static_cast<std::size_t>(Limit) * Rooms.size());
+}
+
+TEST_CASE("a tight gang stays on one rack that can hold it") {
+  const auto Tasks = GENERATE(std::int64_t{2}, std::int64_t{3});
+  auto Rooms = makeRooms(6, 3);
+  Rooms[0].Free.Accelerators = 0;
+  Rooms[0].Soon.Accelerators = 0;
+  const StepSpec Step = makeStep(Tasks, {1'000, 100, 8}, true, true);
+  const std::vector<WaitingUnit> Waiting{makeUnit(Step, 0)};
+  const PlacementPlan Plan = planPlacement(Rooms, Waiting, {});
+  REQUIRE(Plan.Starts.size() == 1);
+  for (const std::size_t Room : Plan.Starts[0].Rooms)
+    REQUIRE(Rooms[Room].Rack == (Tasks == 2 ? "r0" : "r1"));
+}
+
+TEST_CASE("urgent work evicts the least work of lower priorities") {
+  struct Row {
+    std::int64_t OtherPriority;
+    std::vector<std::size_t> Evicted;
+  };
+  const auto Case =
+      GENERATE(Row{1, {1}}, Row{2, {1}}, Row{0, std::vector<std::size_t>{}});
+  auto Rooms = makeRooms(2, 2);
+  const std::vector<PlacedUnit> Placed{
+      fillRooms(Rooms, {0}, Case.OtherPriority, 500),
+      fillRooms(Rooms, {1}, Case.OtherPriority, 20)};
+  const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
+  const std::vector<WaitingUnit> Waiting{makeUnit(Step, 0)};
+  const PlacementPlan Plan = planPlacement(Rooms, Waiting, Placed);
+  REQUIRE(Plan.Starts.empty());
+  REQUIRE(Plan.Preempted == Case.Evicted);
+}
+
+TEST_CASE("guaranteed work takes room back from workspaces beyond theirs") {
+  const auto [Within, Beyond, Evicted] =
+      GENERATE(table<bool, bool, std::size_t>(
+          {{true, true, 1}, {true, false, 0}, {false, true, 0}}));
+  auto Rooms = makeRooms(1, 1);
+  std::vector<PlacedUnit> Placed{fillRooms(Rooms, {0}, 0, 10)};
+  Placed[0].BeyondGuarantee = Beyond;
+  const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
+  std::vector<WaitingUnit> Waiting{makeUnit(Step, 0)};
+  Waiting[0].WithinGuarantee = Within;
+  const PlacementPlan Plan = planPlacement(Rooms, Waiting, Placed);
+  REQUIRE(Plan.Preempted.size() == Evicted);
+}
+
+TEST_CASE("room that is being freed for urgent work is kept for it") {
+  auto Rooms = makeRooms(1, 1);
+  std::vector<PlacedUnit> Placed{fillRooms(Rooms, {0}, 2, 10)};
+  Placed[0].Stopping = true;
+  // The first of two members has ended already.
+  Rooms[0].Free = {8'000, 1'000, 2};
+  Rooms[0].Soon = WholeWorker;
+  const StepSpec Urgent = makeStep(1, {1'000, 100, 8}, true, false);
+  const StepSpec Small = makeStep(1, {1'000, 100, 1}, false, false);
+  std::vector<WaitingUnit> Waiting{makeUnit(Urgent, 0), makeUnit(Small, 2)};
+  Waiting[1].Group = 1;
+  const PlacementPlan Plan = planPlacement(Rooms, Waiting, Placed);
+  REQUIRE(Plan.Starts.empty());
+  REQUIRE(Plan.Preempted.empty());
+}
+
+} // namespace pistachioflow
