Test the whole path against a stand-in platform; mend what that and a crash showed

(2) In an idle system an unknown job was answered 503: freshness was measured by reads sent after the question, which a quiet log answers late. New: a stand-in of the store and the workers, a proxy with faults, and tests that start the daemon as processes and kill, freeze and cut it off (tests/platform).

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -97,3 +97,22 @@
     target_link_libraries(example_${name} PRIVATE pf_api pf_peer pf_clients pf_standin)
   endforeach()
 endfunction()
+
+# Adds the tests that start the daemon against the stand-in platform.
+function(pistachioflow_platform_tests folder)
+  pistachioflow_sources(${folder} sources tests)
+  add_library(pf_fleet STATIC ${sources})
+  pistachioflow_target_defaults(pf_fleet)
+  target_link_libraries(pf_fleet PUBLIC pf_platform_standin)
+  target_compile_definitions(pf_fleet PRIVATE
+    PISTACHIOFLOW_BIN_DIR="${CMAKE_BINARY_DIR}")
+  target_include_directories(pf_fleet PUBLIC ${CMAKE_SOURCE_DIR}/${folder})
+  add_executable(platform_path_tests ${tests})
+  pistachioflow_target_defaults(platform_path_tests)
+  target_link_libraries(platform_path_tests PRIVATE pf_fleet pf_catch_main)
+  target_precompile_headers(platform_path_tests PRIVATE <catch2/catch.hpp>)
+  add_dependencies(platform_path_tests pistachio-entryd)
+  add_test(NAME platform_path COMMAND platform_path_tests)
+  set_tests_properties(platform_path PROPERTIES
+    TIMEOUT ${PISTACHIOFLOW_TEST_TIMEOUT_S})
+endfunction()
--- a/include/pistachioflow/entry/journal_writer.hpp
+++ b/include/pistachioflow/entry/journal_writer.hpp
@@ -10,7 +10,7 @@
 #include <asio/io_context.hpp>
 
 #include "pistachioflow/base/clock.hpp"
-#include "pistachioflow/entry/pause.hpp"
+#include "pistachioflow/entry/tasks.hpp"
 #include "pistachioflow/platform/store_client.hpp"
 
 namespace pistachioflow {
@@ -34,8 +34,9 @@
 /// A call without an answer is repeated with the same sequence number until it
 /// is answered, so that its records are appended once and in order.
 ///
-/// Thread safety: none; use from the thread that runs the io_context.
-class JournalWriter {
+/// Thread safety: none; use from the thread that runs the io_context. Make it
+/// with std::make_shared: it lives on until its last call is answered.
+class JournalWriter : public std::enable_shared_from_this<JournalWriter> {
 public:
   /// \p Id and \p Epoch name the writer to the store; the first append has
   /// number \p FirstSequence.
@@ -55,7 +56,7 @@
   struct Entry;
 
   void startLoop();
-  asio::awaitable<void> loop();
+  asio::awaitable<void> loop(std::shared_ptr<JournalWriter> Self);
   std::vector<JournalRecord> nextBatch();
   void resolveBatch(WriteOutcome Outcome);
 
--- a/include/pistachioflow/entry/topic_follower.hpp
+++ b/include/pistachioflow/entry/topic_follower.hpp
@@ -8,7 +8,7 @@
 #include <asio/io_context.hpp>
 
 #include "pistachioflow/base/clock.hpp"
-#include "pistachioflow/entry/pause.hpp"
+#include "pistachioflow/entry/tasks.hpp"
 #include "pistachioflow/platform/store_client.hpp"
 
 namespace pistachioflow {
@@ -44,23 +44,21 @@
 
   /// Whether everything that the topic held at the last contact was applied.
   bool caughtUp() const { return this->CaughtUpNow; }
-  /// When a read that brought everything was sent last: all that was
-  /// acknowledged before then has been applied.
-  Instant freshAt() const { return this->FreshAt; }
   /// When the store answered a read last.
   Instant lastContact() const { return this->LastContact; }
   /// Offset of the next record.
   std::int64_t position() const { return this->Next; }
 
-  /// Waits until everything acknowledged before the call was applied, or up to
-  /// \p Longest. Returns whether it was.
+  /// Asks the store for its end and waits until everything before it was
+  /// applied, or up to \p Longest. Returns whether it was: then everything that
+  /// was acknowledged before the call is known.
   asio::awaitable<bool> refresh(Duration Longest);
 
 private:
   asio::awaitable<bool> load();
   asio::awaitable<void> readOnce();
   void contactLost(std::string_view Reason);
-  void contactMade(Instant SentAt);
+  void contactMade();
 
   asio::io_context &Io;
   StoreClient &Store;
@@ -71,7 +69,6 @@
   Signal Applied;
   std::int64_t Next = 0;
   std::int64_t LoadedUpTo = 0; ///< Records before it may be out of order.
-  Instant FreshAt;
   Instant LastContact;
   bool Loaded = false;
   bool CaughtUpNow = false;
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -118,7 +118,13 @@
       co_await this->Writer.write(std::move(Records), CallerPatience);
   if (Outcome == WriteOutcome::Stored) {
     this->Board.apply(Own);
-    logCall("submit_accepted", Of.JobId, 200, "stored", took());
+    logEvent(LogLevel::Info, "submit_accepted",
+             {{"id", Of.JobId},
+              {"queue", Record.Queue},
+              {"workspace", Record.Workspace},
+              {"priority", Record.Terms.Priority},
+              {"version", this->Desired.Version},
+              {"ms", took().Ms}});
     co_return plain(200);
   }
   if (Outcome == WriteOutcome::NotStored) {
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -5,9 +5,6 @@
 #include <chrono>
 #include <utility>
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
-
 #include "pistachioflow/base/log.hpp"
 
 namespace pistachioflow {
@@ -46,6 +43,15 @@
 
 } // namespace
 
+namespace {
+
+/// Keeps the follower alive until its last read has ended.
+asio::awaitable<void> followTopic(std::shared_ptr<TopicFollower> List) {
+  co_await List->run();
+}
+
+} // namespace
+
 /// Everything that belongs to one time as the owner.
 struct Dispatcher::Tenure {
   std::int64_t Epoch = 0;
@@ -179,26 +185,21 @@
   Of.WorkerList = std::make_shared<TopicFollower>(
       this->Io, this->Store, this->Time, std::string(WorkerTopic),
       std::move(Observer), WorkerListPace);
-  asio::co_spawn(
-      this->Io,
-      [](std::shared_ptr<TopicFollower> List) -> asio::awaitable<void> {
-        co_await List->run();
-      }(Of.WorkerList),
-      asio::detached);
+  spawnTask(this->Io, "worker_list", followTopic(Of.WorkerList));
   // Members of earlier owners may be on workers that are no longer listed.
   const Instant LeaseEnds =
       this->Time.monotonic() +
       Duration{this->Settings.MaxLease.Ms * SlowClockPercent / WholePercent} +
       LeaseMargin;
-  for (const Unit *Of2 : Of.Table.active())
-    for (const Member &At : Of2->Members) {
+  for (const Unit *Entry : Of.Table.active())
+    for (const Member &At : Entry->Members) {
       Link &Worker = Of.Workers[At.Worker];
       if (!Worker)
         Worker = std::make_shared<WorkerLink>(this->Io, At.Worker);
       Worker->LeaseEnds = LeaseEnds;
       Worker->SilentSince = this->Time.monotonic();
     }
-  asio::co_spawn(this->Io, this->tick(this->Current), asio::detached);
+  spawnTask(this->Io, "tick", this->tick(this->Current));
   this->requestTurn();
 }
 
@@ -262,7 +263,7 @@
   this->sendStops(Of);
   this->logEvents(*Of);
   if (!Of->Flushing)
-    asio::co_spawn(this->Io, this->flush(Of), asio::detached);
+    spawnTask(this->Io, "flush", this->flush(Of));
 }
 
 void Dispatcher::place(Tenure &Of) {
@@ -308,10 +309,9 @@
                               At.Phase == MemberPhase::Adopted);
       const auto Worker = Of->Workers.find(At.Worker);
       if (Stoppable && Worker != Of->Workers.end())
-        asio::co_spawn(this->Io,
-                       this->stopTask(Of, Worker->second,
-                                      Entry->taskName(Index), Entry->Run),
-                       asio::detached);
+        spawnTask(this->Io, "stop_task",
+                  this->stopTask(Of, Worker->second, Entry->taskName(Index),
+                                 Entry->Run));
     }
 }
 
@@ -374,9 +374,8 @@
       continue;
     for (std::size_t Index = 0; Index < Entry.Of->Members.size(); ++Index)
       if (Entry.Of->Members[Index].Phase == MemberPhase::Recorded)
-        asio::co_spawn(this->Io,
-                       this->startMember(Of, Entry.Of, Index, Entry.Run),
-                       asio::detached);
+        spawnTask(this->Io, "start_member",
+                  this->startMember(Of, Entry.Of, Index, Entry.Run));
   }
   if (Of->Table.dirty())
     this->requestTurn();
@@ -389,7 +388,13 @@
     co_return;
   const std::string Task = Starting->taskName(Index);
   const std::string WorkerId = Starting->Members[Index].Worker;
-  const Link Worker = Of->Workers.at(WorkerId);
+  const auto Found = Of->Workers.find(WorkerId);
+  if (Found == Of->Workers.end() || !Found->second->Client) {
+    Of->Table.refuse(Task, Run, this->Time.monotonic(), PauseAfterRefusal,
+                     "unlisted");
+    co_return;
+  }
+  const Link Worker = Found->second;
   StartOrder Order;
   Order.Task = Task;
   Order.Run = Run;
@@ -484,7 +489,7 @@
   if (Worker->Looping || !Needed)
     return;
   Worker->Looping = true;
-  asio::co_spawn(this->Io, this->holdLoop(Of, Worker), asio::detached);
+  spawnTask(this->Io, "hold_loop", this->holdLoop(Of, Worker));
 }
 
 asio::awaitable<void> Dispatcher::holdLoop(Held Of, Link Worker) {
@@ -566,8 +571,8 @@
   for (const RunningTask &Task : Unwanted) {
     logEvent(LogLevel::Warning, "unwanted_run",
              {{"task", Task.Task}, {"run", Task.Run}, {"worker", Worker->Id}});
-    asio::co_spawn(this->Io, this->stopTask(Of, Worker, Task.Task, Task.Run),
-                   asio::detached);
+    spawnTask(this->Io, "stop_task",
+              this->stopTask(Of, Worker, Task.Task, Task.Run));
   }
   this->requestTurn();
 }
@@ -623,6 +628,8 @@
               {"worker", Event.Worker},
               {"detail", Event.Detail},
               {"ms", Event.Ms},
+              {"estimated_ms", Event.EstimatedMs},
+              {"queue", Event.Queue},
               {"epoch", Of.Epoch}});
   }
 }
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
-
 #include "pistachioflow/base/log.hpp"
 #include "pistachioflow/entry/caller_api.hpp"
 #include "pistachioflow/entry/dispatcher.hpp"
@@ -54,7 +51,7 @@
   StoreClient Store;
   TopicFollower Operators;
   TopicFollower Journal;
-  JournalWriter Writer;
+  std::shared_ptr<JournalWriter> Writer;
   Dispatcher Orders;
   Ownership Owning;
   CallerApi Callers;
@@ -84,8 +81,9 @@
            [this](const JournalRecord &Record) { this->applyJournal(Record); },
            [this] { this->Orders.journalCaughtUp(); }},
           FollowerPace),
-      Writer(Io, Store, Time, this->Name, 1, 0,
-             static_cast<std::size_t>(this->Settings.StoreCallBytes)),
+      Writer(std::make_shared<JournalWriter>(
+          Io, Store, Time, this->Name, 1, 0,
+          static_cast<std::size_t>(this->Settings.StoreCallBytes))),
       Orders(Io, Store, Time, this->Settings, this->Desired,
              [this](std::string_view Reason) { this->Owning.lose(Reason); }),
       Owning(Io, Store, Time, this->Name,
@@ -101,7 +99,7 @@
               },
               [this] { return this->Journal.position(); },
               [this] { return this->journalReadable(); }}),
-      Callers(Time, this->Desired, this->Board, this->Journal, this->Writer),
+      Callers(Time, this->Desired, this->Board, this->Journal, *this->Writer),
       CallerServer(Io,
                    [this](HttpRequest Request) {
                      return this->Callers.handle(std::move(Request));
@@ -196,9 +194,9 @@
       Of.ReadyServer.listen(parseEndpoint(Of.Settings.ReadyAddress));
   if (!Listening)
     return false;
-  asio::co_spawn(Of.Io, Of.Operators.run(), asio::detached);
-  asio::co_spawn(Of.Io, Of.Journal.run(), asio::detached);
-  asio::co_spawn(Of.Io, Of.Owning.run(), asio::detached);
+  spawnTask(Of.Io, "run", Of.Operators.run());
+  spawnTask(Of.Io, "run", Of.Journal.run());
+  spawnTask(Of.Io, "run", Of.Owning.run());
   return true;
 }
 
@@ -222,7 +220,7 @@
   Of.Leaving = true;
   logEvent(LogLevel::Info, "stopping",
            {{"owner", Of.Owning.owner() ? "yes" : "no"}});
-  asio::co_spawn(Of.Io, Of.leave(), asio::detached);
+  spawnTask(Of.Io, "leave", Of.leave());
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/journal_writer.cpp
+++ b/src/pistachioflow/entry/journal_writer.cpp
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
-
 #include "pistachioflow/base/log.hpp"
 
 namespace pistachioflow {
@@ -69,7 +66,7 @@
   if (this->Running)
     return;
   this->Running = true;
-  asio::co_spawn(this->Io, this->loop(), asio::detached);
+  spawnTask(this->Io, "journal_writer", this->loop(this->shared_from_this()));
 }
 
 std::vector<JournalRecord> JournalWriter::nextBatch() {
@@ -100,7 +97,7 @@
   this->Batch.clear();
 }
 
-asio::awaitable<void> JournalWriter::loop() {
+asio::awaitable<void> JournalWriter::loop(std::shared_ptr<JournalWriter> Self) {
   bool MaybeStored = false;
   std::vector<JournalRecord> Records;
   while (!this->Queue.empty() || !this->Batch.empty()) {
@@ -143,7 +140,7 @@
     }
     co_await pauseFor(this->Io, RetryPause);
   }
-  this->Running = false;
+  Self->Running = false;
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/ownership.cpp
+++ b/src/pistachioflow/entry/ownership.cpp
@@ -4,11 +4,8 @@
 #include <utility>
 #include <vector>
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
-
 #include "pistachioflow/base/log.hpp"
-#include "pistachioflow/entry/pause.hpp"
+#include "pistachioflow/entry/tasks.hpp"
 
 namespace pistachioflow {
 
@@ -56,7 +53,7 @@
       this->View.HealthySince = Now;
     if (this->owner()) {
       if (!this->Beating)
-        asio::co_spawn(this->Io, this->beat(), asio::detached);
+        spawnTask(this->Io, "beat", this->beat());
       continue;
     }
     if (!shouldClaim(this->View, this->Times, Spread, Now))
--- a/src/pistachioflow/entry/topic_follower.cpp
+++ b/src/pistachioflow/entry/topic_follower.cpp
@@ -34,7 +34,13 @@
 
 asio::awaitable<bool> TopicFollower::refresh(Duration Longest) {
   const Instant Asked = this->Time.monotonic();
-  while (this->FreshAt < Asked) {
+  if (!this->Loaded)
+    co_return false;
+  const ReadAnswer Answer =
+      co_await this->Store.read(this->Topic, this->Next, Duration{0}, Longest);
+  if (Answer.Outcome != ReadOutcome::Read)
+    co_return false;
+  while (!this->Loaded || this->Next < Answer.EndOffset) {
     const Duration Left = Longest - (this->Time.monotonic() - Asked);
     if (Left.Ms <= 0)
       co_return false;
@@ -60,7 +66,6 @@
   std::string After;
   std::int64_t From = -1;
   std::int64_t Highest = -1;
-  const Instant SentAt = this->Time.monotonic();
   while (true) {
     NewestPage Page =
         co_await this->Store.newest(this->Topic, After, LoadTimeout);
@@ -91,12 +96,11 @@
             {"records", static_cast<std::int64_t>(Records.size())},
             {"offset", From}});
   if (this->Next >= this->LoadedUpTo)
-    this->contactMade(SentAt);
+    this->contactMade();
   co_return true;
 }
 
 asio::awaitable<void> TopicFollower::readOnce() {
-  const Instant SentAt = this->Time.monotonic();
   const bool Behind = this->Next < this->LoadedUpTo;
   const Duration Wait = Behind ? Duration{0} : ReadWait;
   const ReadAnswer Answer = co_await this->Store.read(this->Topic, this->Next,
@@ -123,7 +127,7 @@
   }
   this->Next += static_cast<std::int64_t>(Answer.Records.size());
   if (this->Next >= Answer.EndOffset && this->Next >= this->LoadedUpTo)
-    this->contactMade(SentAt);
+    this->contactMade();
 }
 
 void TopicFollower::contactLost(std::string_view Reason) {
@@ -133,12 +137,11 @@
   this->Lost = true;
 }
 
-void TopicFollower::contactMade(Instant SentAt) {
+void TopicFollower::contactMade() {
   if (this->Lost)
     logEvent(LogLevel::Info, "store_regained",
              {{"topic", this->Topic}, {"offset", this->Next}});
   this->Lost = false;
-  this->FreshAt = SentAt;
   this->LastContact = this->Time.monotonic();
   this->CaughtUpNow = true;
   this->Applied.notify();
--- /dev/null
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -0,0 +1,364 @@
+#include "pistachioflow/platform_standin/platform_server.hpp"
+
+#include <array>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "pistachioflow/codec/json_reader.hpp"
+#include "pistachioflow/net/http_client.hpp"
+
+namespace pistachioflow {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration TimeStep{10};
+constexpr Duration ListPeriod{500};
+/// An answer that never comes; callers give up long before.
+constexpr Duration Never{60'000};
+constexpr std::size_t PageSize = 500;
+
+std::string queryValue(const std::string &Query, std::string_view Name) {
+  const std::string Wanted = std::string(Name) + "=";
+  std::size_t Begin = Query.find('?');
+  while (Begin != std::string::npos) {
+    ++Begin;
+    const std::size_t End = std::min(Query.find('&', Begin), Query.size());
+    if (Query.compare(Begin, Wanted.size(), Wanted) == 0) {
+      std::string Value;
+      for (std::size_t At = Begin + Wanted.size(); At < End; ++At) {
+        if (Query[At] != '%' || At + 2 >= End + 0) {
+          Value += Query[At];
+          continue;
+        }
+        Value +=
+            static_cast<char>(std::stoi(Query.substr(At + 1, 2), nullptr, 16));
+        At += 2;
+      }
+      return Value;
+    }
+    Begin = Query.find('&', Begin);
+  }
+  return {};
+}
+
+std::int64_t queryNumber(const std::string &Query, std::string_view Name) {
+  const std::string Value = queryValue(Query, Name);
+  return Value.empty() ? 0 : std::stoll(Value);
+}
+
+std::string encodeBase64(std::string_view Bytes) {
+  constexpr std::string_view Letters =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string Text;
+  for (std::size_t At = 0; At < Bytes.size(); At += 3) {
+    std::uint32_t Group = 0;
+    for (std::size_t Byte = 0; Byte < 3; ++Byte) {
+      Group <<= 8U;
+      if (At + Byte < Bytes.size())
+        Group |= static_cast<unsigned char>(Bytes[At + Byte]);
+    }
+    const std::size_t Used = std::min<std::size_t>(3, Bytes.size() - At);
+    for (std::size_t Letter = 0; Letter < 4; ++Letter)
+      Text += Letter <= Used ? Letters[(Group >> (18U - 6U * Letter)) & 0x3FU]
+                             : '=';
+  }
+  return Text;
+}
+
+std::string bigEndian(std::int64_t Value) {
+  std::string Bytes;
+  for (int Shift = 56; Shift >= 0; Shift -= 8)
+    Bytes += static_cast<char>(
+        (static_cast<std::uint64_t>(Value) >> static_cast<unsigned>(Shift)) &
+        0xFFU);
+  return Bytes;
+}
+
+HttpResponse json(int Status, const Json &Body) {
+  HttpResponse Response;
+  Response.Status = Status;
+  Response.Body = dumpJson(Body);
+  return Response;
+}
+
+std::string_view wordOf(OrderOutcome Outcome) {
+  switch (Outcome) {
+  case OrderOutcome::StaleEpoch:
+    return "fence";
+  case OrderOutcome::StaleRun:
+    return "old";
+  case OrderOutcome::Late:
+    return "late";
+  case OrderOutcome::NoRoom:
+    return "room";
+  default:
+    return "";
+  }
+}
+
+HttpResponse orderResponse(const OrderAnswer &Answer) {
+  if (Answer.Outcome == OrderOutcome::Accepted)
+    return json(200, {{"clock_ms", Answer.ClockMs}});
+  return json(409, {{"clock_ms", Answer.ClockMs},
+                    {"reason", std::string(wordOf(Answer.Outcome))}});
+}
+
+HttpResponse appendResponse(const AppendAnswer &Answer) {
+  switch (Answer.Outcome) {
+  case AppendOutcome::Appended:
+    return json(200, {{"end_offset", Answer.EndOffset}});
+  case AppendOutcome::Moved:
+    return json(412, {{"end_offset", Answer.EndOffset}});
+  case AppendOutcome::Fenced:
+    return json(409, {{"reason", "fenced"}});
+  default:
+    return json(409,
+                {{"reason", "seq"}, {"sequence", Answer.ExpectedSequence}});
+  }
+}
+
+std::string_view endWord(RunEnd How) {
+  constexpr std::array Words{"done",   "failed", "stopped",
+                             "lapsed", "broken", "alone"};
+  return Words.at(static_cast<std::size_t>(How));
+}
+
+HttpResponse holdResponse(const HoldAnswer &Answer) {
+  if (Answer.Outcome != OrderOutcome::Accepted)
+    return orderResponse({Answer.Outcome, 0});
+  Json Running = Json::array();
+  for (const RunningTask &Task : Answer.Report.Running)
+    Running.push_back(Json::array({Task.Task, Task.Run, Task.Checkpoint,
+                                   Task.SpeedPercent, Task.CpuMilli}));
+  Json Ended = Json::array();
+  for (const EndedRun &End : Answer.Report.Ended)
+    Ended.push_back(
+        Json::array({End.Number, End.Task, End.Run,
+                     std::string(endWord(End.How)), End.Checkpoint}));
+  return json(200, {{"clock_ms", Answer.Report.ClockMs},
+                    {"born", Answer.Report.BornWallMs},
+                    {"running", Running},
+                    {"ended_runs", Ended}});
+}
+
+} // namespace
+
+PlatformServer::PlatformServer(asio::io_context &Io, const Clock &Time,
+                               ParkLimits Limits, std::uint64_t Seed)
+    : Park(Limits), Io(Io), Time(Time),
+      StoreServer(Io,
+                  [this](HttpRequest Request) {
+                    return this->serveStore(std::move(Request));
+                  }),
+      Appended(Io), Random(Seed) {}
+
+bool PlatformServer::chance(double Share) {
+  return std::uniform_real_distribution<double>(0, 1)(this->Random) < Share;
+}
+
+bool PlatformServer::start(std::size_t WorkerCount, std::size_t WorkersPerRack,
+                           Demand Each) {
+  this->Capacity = Each;
+  const asio::ip::tcp::endpoint AnyPort = parseEndpoint("127.0.0.1:0");
+  if (!this->StoreServer.listen(AnyPort))
+    return false;
+  for (std::size_t Index = 0; Index < WorkerCount; ++Index) {
+    const std::string Id = "w" + std::to_string(Index);
+    WorkerPort Port;
+    Port.Id = Id;
+    Port.Rack = "r" + std::to_string(Index / WorkersPerRack);
+    Port.Server =
+        std::make_unique<HttpServer>(this->Io, [this, Id](HttpRequest Request) {
+          return this->serveWorker(Id, std::move(Request));
+        });
+    if (!Port.Server->listen(AnyPort))
+      return false;
+    this->Park.addWorker(Id, Each);
+    this->Ports.push_back(std::move(Port));
+  }
+  this->listWorkers();
+  spawnTask(this->Io, "stand_in_time", this->passTime());
+  return true;
+}
+
+void PlatformServer::publish(const std::string &DesiredStateJson) {
+  this->Store.put(std::string(OperatorTopic),
+                  {std::string(DesiredStateKey), DesiredStateJson});
+  this->Appended.notify();
+}
+
+void PlatformServer::listWorkers() {
+  for (WorkerPort &Port : this->Ports) {
+    const Json Entry = {
+        {"service", "svc"},
+        {"address", "127.0.0.1:" + std::to_string(Port.Server->port())},
+        {"zone", "z1"},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", "ready"},
+        {"cold_remaining_ms", 0},
+        {"capacity",
+         {{"cpu", this->Capacity.MilliCores},
+          {"memory_request_mb", this->Capacity.MemoryMb},
+          {"gpus", this->Capacity.Accelerators}}},
+        {"labels", Json::array({"a", Port.Rack})},
+        {"clock_ms", this->Time.monotonic().Ms},
+        {"born", 1},
+        {"sequence", ++Port.Beats}};
+    this->Store.put(std::string(WorkerTopic), {Port.Id, dumpJson(Entry)});
+  }
+  this->Appended.notify();
+}
+
+asio::awaitable<void> PlatformServer::passTime() {
+  Instant Listed = this->Time.monotonic();
+  while (true) {
+    co_await pauseFor(this->Io, TimeStep);
+    const Instant Now = this->Time.monotonic();
+    this->Park.advance(Now);
+    if (Now - Listed < ListPeriod)
+      continue;
+    Listed = Now;
+    this->listWorkers();
+  }
+}
+
+asio::awaitable<HttpResponse> PlatformServer::serveStore(HttpRequest Request) {
+  if (this->StoreBehaviour.Silent)
+    co_await pauseFor(this->Io, Never);
+  if (this->StoreBehaviour.Delay.Ms > 0)
+    co_await pauseFor(this->Io, this->StoreBehaviour.Delay);
+  HttpResponse Response;
+  Response.Status = 503;
+  if (this->StoreBehaviour.Refusing)
+    co_return Response;
+  if (Request.Target.starts_with("/log-append")) {
+    Response = this->serveAppend(Request.Target, Request.Body);
+    if (this->chance(this->StoreBehaviour.LostAnswers))
+      co_await pauseFor(this->Io, Never);
+    co_return Response;
+  }
+  if (Request.Target.starts_with("/log-read"))
+    co_return co_await this->serveRead(std::move(Request.Target));
+  if (Request.Target.starts_with("/log-newest"))
+    co_return this->serveNewest(Request.Target);
+  Response.Status = 404;
+  co_return Response;
+}
+
+HttpResponse PlatformServer::serveAppend(const std::string &Query,
+                                         const std::string &Body) {
+  bool Malformed = false;
+  const std::vector<JournalRecord> Records = decodeRecords(Body, Malformed);
+  if (Malformed)
+    return json(400, {{"error", "malformed records"}});
+  const Producer Writer{queryValue(Query, "producer_id"),
+                        queryNumber(Query, "epoch"),
+                        queryNumber(Query, "sequence")};
+  std::optional<std::int64_t> ExpectedEnd;
+  if (!queryValue(Query, "at").empty())
+    ExpectedEnd = queryNumber(Query, "at");
+  const AppendAnswer Answer = this->Store.append(queryValue(Query, "topic"),
+                                                 Records, Writer, ExpectedEnd);
+  this->Appended.notify();
+  return appendResponse(Answer);
+}
+
+asio::awaitable<HttpResponse> PlatformServer::serveRead(std::string Query) {
+  const std::string Topic = queryValue(Query, "topic");
+  const std::int64_t From = queryNumber(Query, "from");
+  const Duration Wait{queryNumber(Query, "wait_ms")};
+  const Instant Begun = this->Time.monotonic();
+  while (From >= this->Store.end(Topic)) {
+    const Duration Left = Wait - (this->Time.monotonic() - Begun);
+    if (Left.Ms <= 0)
+      break;
+    co_await this->Appended.wait(Left);
+  }
+  if (From < this->Store.first(Topic))
+    co_return json(410, {{"first_offset", this->Store.first(Topic)}});
+  HttpResponse Response;
+  Response.Status = 200;
+  Response.Body = bigEndian(this->Store.end(Topic)) +
+                  bigEndian(this->Store.first(Topic)) +
+                  encodeRecords(this->Store.read(Topic, From));
+  co_return Response;
+}
+
+HttpResponse PlatformServer::serveNewest(const std::string &Query) const {
+  const std::string Topic = queryValue(Query, "topic");
+  const auto Page =
+      this->Store.newest(Topic, queryValue(Query, "after"), PageSize);
+  Json Items = Json::array();
+  for (const LogStore::Stored &Entry : Page)
+    Items.push_back({{"key", Entry.Record.Key},
+                     {"value", encodeBase64(Entry.Record.Value)},
+                     {"offset", Entry.Offset}});
+  return json(200, {{"items", Items},
+                    {"has_more", Page.size() == PageSize},
+                    {"end_offset", this->Store.end(Topic)}});
+}
+
+asio::awaitable<HttpResponse> PlatformServer::serveWorker(std::string Id,
+                                                          HttpRequest Request) {
+  if (Request.Target == "/run-start")
+    co_return co_await this->serveStart(std::move(Id), std::move(Request.Body));
+  if (Request.Target == "/hold")
+    co_return co_await this->serveHold(std::move(Id), std::move(Request.Body));
+  const Json Body = Json::parse(Request.Body, nullptr, false);
+  HttpResponse Response;
+  Response.Status = 404;
+  if (Request.Target == "/run-stop" && Body.is_object())
+    Response = orderResponse(this->Park.stop(
+        Id, Body.value("task", ""), Body.value("run", std::int64_t{0}),
+        Body.value("fencing_token", std::int64_t{0}), this->Time.monotonic()));
+  co_return Response;
+}
+
+asio::awaitable<HttpResponse> PlatformServer::serveStart(std::string Id,
+                                                         std::string Text) {
+  const Json Body = Json::parse(Text, nullptr, false);
+  StartOrder Order;
+  Order.Task = Body.value("task", "");
+  Order.Run = Body.value("run", std::int64_t{0});
+  Order.Payload = Body.value("specification", "");
+  Order.LeaseUntilMs = Body.value("deadline_ms", std::int64_t{0});
+  Order.Epoch = Body.value("fencing_token", std::int64_t{0});
+  const bool Late = this->chance(this->WorkerBehaviour.LateOrders);
+  if (Late)
+    co_await pauseFor(this->Io, this->WorkerBehaviour.Lateness);
+  const OrderAnswer Answer =
+      this->Park.start(Id, Order, this->Time.monotonic());
+  if (Late)
+    co_await pauseFor(this->Io, Never);
+  co_return orderResponse(Answer);
+}
+
+asio::awaitable<HttpResponse> PlatformServer::serveHold(std::string Id,
+                                                        std::string Text) {
+  const Json Body = Json::parse(Text, nullptr, false);
+  HoldOrder Order;
+  Order.Epoch = Body.value("fencing_token", std::int64_t{0});
+  Order.AcknowledgedEnd = Body.value("last_seen", std::int64_t{0});
+  if (Body.contains("deadline_ms"))
+    Order.LeaseUntilMs = Body["deadline_ms"].get<std::int64_t>();
+  Order.WaitMs = Body.value("wait_ms", std::int64_t{0});
+  const Instant Begun = this->Time.monotonic();
+  HoldAnswer Answer = this->Park.hold(Id, Order, Begun);
+  const auto Waited = [&] { return this->Time.monotonic() - Begun; };
+  while (Answer.Outcome == OrderOutcome::Accepted &&
+         Answer.Report.Ended.empty() && Waited() < Duration{Order.WaitMs}) {
+    co_await pauseFor(this->Io, TimeStep);
+    if (this->Park.hasEnds(Id))
+      break;
+  }
+  // Looks again without renewing: the order was carried out on arrival.
+  Order.LeaseUntilMs.reset();
+  Answer = this->Park.hold(Id, Order, this->Time.monotonic());
+  co_return holdResponse(Answer);
+}
+
+} // namespace pistachioflow
