Stop runs that stand still; predict run times from what was seen

Change: a run whose members all use no processor for 1.4 s is stopped, and the worker that was idle first is avoided; run times are predicted from a blend of the queue's own times and corrected estimates, weighted by how well each predicted.

--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -15,8 +15,8 @@
 
 using WorkerLinks = std::map<std::string, std::shared_ptr<WorkerLink>>;
 
-/// How actual run times compare with estimates, for each queue.
-/// Thread safety: none.
+/// How long tasks of each queue run: what was seen, blended with callers'
+/// estimates by how well each has predicted. Thread safety: none.
 class DurationModel {
 public:
   /// Learns from a run that ended as done without a checkpoint.
@@ -28,11 +28,20 @@
                           std::int64_t EstimatedMs) const;
 
 private:
-  struct Ratio {
-    double Value = 1.0;
-    std::int64_t Samples = 0;
+  /// Mean and variance of logarithms.
+  struct Spread {
+    double Mean = 0;
+    double Squares = 0;
+    double Samples = 0;
+
+    void add(double Value);
+    double variance() const;
+  };
+  struct Seen {
+    Spread Actual;
+    Spread Ratio; ///< Actual over estimated.
   };
-  std::map<std::string, Ratio> Ratios;
+  std::map<std::string, Seen> Queues;
 };
 
 /// Everything a round of placement looks at.
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -34,6 +34,7 @@
   bool StopWanted = false;
   Instant Since;     ///< When the phase was entered.
   Instant StopAcked; ///< When the worker accepted a stop; 0: it has not.
+  Instant IdleSince; ///< Since when it uses no processor; 0: it does.
 };
 
 struct Job;
@@ -106,6 +107,7 @@
     Refused,
     Ended,
     Vanished, ///< The worker no longer has a run that it had confirmed.
+    Stuck,    ///< A run uses no processor though its gang is complete.
     StopWanted,
     UnitDone,
     JobEnded,
@@ -216,6 +218,8 @@
   void openOccurrence(Job &Owner, std::int64_t Number);
   void unlockSteps(Job &Owner, Occurrence &Of, Instant Now);
   void memberGone(Unit &Of, std::size_t Index, Instant Now);
+  void watchProgress(Unit &Of, std::size_t Index, const RunningTask &Task,
+                     Instant Now);
   void applyEnd(Unit &Of, std::size_t Index, const EndedRun &End, Instant Now,
                 std::int64_t WallMs);
   void unitDone(Unit &Of, Instant Now, std::int64_t WallMs);
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -597,14 +597,16 @@
 
 void Dispatcher::learnFromEvents(Tenure &Of, const TableEvent &Event) {
   const auto Found = Of.Workers.find(Event.Worker);
-  if (Event.What != TableEvent::Kind::Ended || Found == Of.Workers.end())
+  const bool Stuck = Event.What == TableEvent::Kind::Stuck;
+  const bool Ended = Event.What == TableEvent::Kind::Ended;
+  if ((!Stuck && !Ended) || Found == Of.Workers.end())
     return;
   WorkerLink &Worker = *Found->second;
   if (Event.Detail == "done") {
     Worker.FailureStreak = 0;
     this->Durations.learn(Event.Queue, Event.EstimatedMs, Event.Ms);
   }
-  if (Event.Detail != "failed")
+  if (!Stuck && Event.Detail != "failed")
     return;
   const std::int64_t Doublings =
       std::min(Worker.FailureStreak++, LongestDoubtDoublings);
@@ -614,9 +616,9 @@
 }
 
 void Dispatcher::logEvents(Tenure &Of) {
-  constexpr std::array Names{"placed",    "started",      "start_refused",
-                             "run_ended", "run_vanished", "stop_wanted",
-                             "unit_done", "job_ended"};
+  constexpr std::array Names{"placed",      "started",      "start_refused",
+                             "run_ended",   "run_vanished", "run_stuck",
+                             "stop_wanted", "unit_done",    "job_ended"};
   for (const TableEvent &Event : Of.Table.takeEvents()) {
     this->learnFromEvents(Of, Event);
     const std::string_view Name = Names[static_cast<std::size_t>(Event.What)];
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -1,6 +1,7 @@
 #include "pistachioflow/entry/planning.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <unordered_map>
 #include <utility>
 
@@ -182,27 +183,43 @@
 
 } // namespace
 
+void DurationModel::Spread::add(double Value) {
+  this->Samples += 1;
+  const double Before = Value - this->Mean;
+  this->Mean += Before / this->Samples;
+  this->Squares += Before * (Value - this->Mean);
+}
+
+double DurationModel::Spread::variance() const {
+  // Few samples say little: a wide spread is mixed in.
+  constexpr double PriorVariance = 1.0;
+  return (this->Squares + PriorVariance) / (this->Samples + 1.0);
+}
+
 void DurationModel::learn(const std::string &Queue, std::int64_t EstimatedMs,
                           std::int64_t ActualMs) {
-  constexpr double Newest = 0.1;
-  constexpr std::int64_t Settling = 10;
   if (EstimatedMs <= 0 || ActualMs <= 0)
     return;
-  Ratio &Entry = this->Ratios[Queue];
-  const double Seen =
-      static_cast<double>(ActualMs) / static_cast<double>(EstimatedMs);
-  ++Entry.Samples;
-  const double Weight = Entry.Samples < Settling
-                            ? 1.0 / static_cast<double>(Entry.Samples)
-                            : Newest;
-  Entry.Value += Weight * (Seen - Entry.Value);
+  Seen &Entry = this->Queues[Queue];
+  const double Actual = std::log(static_cast<double>(ActualMs));
+  Entry.Actual.add(Actual);
+  Entry.Ratio.add(Actual - std::log(static_cast<double>(EstimatedMs)));
 }
 
 std::int64_t DurationModel::expectedMs(const std::string &Queue,
                                        std::int64_t EstimatedMs) const {
-  const auto Found = this->Ratios.find(Queue);
-  const double Factor = Found == this->Ratios.end() ? 1.0 : Found->second.Value;
-  return static_cast<std::int64_t>(Factor * static_cast<double>(EstimatedMs));
+  const auto Found = this->Queues.find(Queue);
+  if (Found == this->Queues.end() || EstimatedMs <= 0)
+    return EstimatedMs;
+  const Seen &Entry = Found->second;
+  const double ByEstimate =
+      std::log(static_cast<double>(EstimatedMs)) + Entry.Ratio.Mean;
+  const double OwnWeight = Entry.Ratio.variance();
+  const double EstimateWeight = Entry.Actual.variance();
+  const double Blend =
+      (OwnWeight * Entry.Actual.Mean + EstimateWeight * ByEstimate) /
+      (OwnWeight + EstimateWeight);
+  return static_cast<std::int64_t>(std::exp(Blend));
 }
 
 const QueueTerms &termsOf(const DesiredState &Desired, const Job &Of) {
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -12,6 +12,10 @@
 /// worker show on its other tasks within about this time.
 constexpr Duration PauseAfterFailure{100};
 
+/// A run that uses no processor for this long stands still. Workers average
+/// their figures over half a second, and a resumed run first restores.
+constexpr Duration StuckAfter{1'400};
+
 /// The four numbers in the name of a task, ID.K.STEP.INDEX. Index is -1 in the
 /// name of a gang.
 struct TaskName {
@@ -191,7 +195,7 @@
     return;
   for (const PlaceRecord &Place : Record.Places)
     Of->Members.push_back({Place.Worker, Place.BornWallMs, MemberPhase::Adopted,
-                           false, Now, Instant{}});
+                           false, Now, Instant{}, Instant{}});
   this->occupy(*Of);
 }
 
@@ -430,6 +434,7 @@
     if (!Task.Checkpoint.empty())
       Place.Of->Checkpoint = Task.Checkpoint;
     this->confirm(Task.Task, Task.Run, Now);
+    this->watchProgress(*Place.Of, Place.Index, Task, Now);
   }
   for (const EndedRun &End : Report.Ended) {
     const TaskPlace Place = this->findTask(End.Task);
@@ -465,6 +470,36 @@
   return Unwanted;
 }
 
+void JobTable::watchProgress(Unit &Of, std::size_t Index,
+                             const RunningTask &Task, Instant Now) {
+  Member &Entry = Of.Members[Index];
+  const bool AllPresent = std::ranges::all_of(Of.Members, [](const Member &At) {
+    return At.Phase == MemberPhase::Running;
+  });
+  const bool Idle = Task.CpuMilli == 0 && Of.spec().Each.MilliCores > 0 &&
+                    !Of.spec().FillsIdleCpu && Task.SpeedPercent > 0;
+  if (!Idle || !AllPresent || Of.Done) {
+    Entry.IdleSince = {};
+    return;
+  }
+  if (Entry.IdleSince.Ms == 0)
+    Entry.IdleSince = Now;
+  // Members that are through wait idle for the others of their gang.
+  const auto idleFor = [Now](const Member &At) {
+    return At.IdleSince.Ms == 0 ? Duration{0} : Now - At.IdleSince;
+  };
+  const bool AllIdle = std::ranges::all_of(
+      Of.Members, [&](const Member &At) { return idleFor(At) >= StuckAfter; });
+  if (!AllIdle || Entry.StopWanted)
+    return;
+  const Member &First = *std::ranges::max_element(
+      Of.Members, {}, [&](const Member &At) { return idleFor(At).Ms; });
+  this->note(TableEvent::Kind::Stuck, Of.name(), First.Worker, Of.Run, {},
+             idleFor(First).Ms);
+  Of.FailedOn.insert(First.Worker);
+  this->stopMembers(Of, Now);
+}
+
 void JobTable::applyEnd(Unit &Of, std::size_t Index, const EndedRun &End,
                         Instant Now, std::int64_t WallMs) {
   if (Of.Members[Index].Phase == MemberPhase::Gone)
--- /dev/null
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -0,0 +1,226 @@
+#include "pistachioflow/sched/job_table.hpp"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace pistachioflow {
+
+namespace {
+
+const std::string JobId = "00000000000000aa";
+
+SubmissionRecord makeSubmission(std::vector<StepSpec> Steps,
+                                std::int64_t Attempts = 2) {
+  SubmissionRecord Made;
+  Made.Queue = "queue";
+  Made.Workspace = "team";
+  Made.AcceptedWallMs = 1'000;
+  Made.Terms.Service = "svc";
+  Made.Terms.MaxAttempts = Attempts;
+  Made.Job.Steps = std::move(Steps);
+  return Made;
+}
+
+StepSpec makeStep(std::int64_t Tasks, bool Gang) {
+  StepSpec Step;
+  Step.TaskCount = Tasks;
+  Step.Gang = Gang;
+  Step.Each = {1'000, 100, 1};
+  return Step;
+}
+
+/// A table with one job, driven by hand.
+struct Driver {
+  JobTable Table;
+  Instant Now{10'000};
+
+  explicit Driver(std::vector<StepSpec> Steps, std::int64_t Attempts = 2) {
+    this->Table.addSubmission(JobId, makeSubmission(std::move(Steps), Attempts),
+                              this->Now, 1'000);
+    this->Table.unlock(this->Now, 1'000);
+  }
+
+  /// Places every unit that waits, each member on a worker of its own, and
+  /// confirms the starts.
+  std::size_t startAll() {
+    this->Table.unlock(this->Now, 1'000);
+    const std::vector<Unit *> Units =
+        this->Table.placeable(this->Now + Duration{1'000});
+    std::size_t Worker = 0;
+    for (Unit *Of : Units) {
+      std::vector<PlaceRecord> Places;
+      for (std::int64_t Task = 0; Task < Of->TaskCount; ++Task)
+        Places.push_back({"w" + std::to_string(Worker++), 1});
+      this->Table.place(*Of, Places, this->Now);
+      for (std::size_t Index = 0; Index < Of->Members.size(); ++Index) {
+        this->Table.markSent({Of, Index}, Of->Run, this->Now);
+        this->Table.confirm(Of->taskName(Index), Of->Run, this->Now);
+      }
+    }
+    return Units.size();
+  }
+
+  void report(const std::string &Worker, std::vector<RunningTask> Running,
+              std::vector<EndedRun> Ended) {
+    this->Now = this->Now + Duration{10};
+    WorkerReport Report;
+    Report.BornWallMs = 1;
+    Report.Running = std::move(Running);
+    Report.Ended = std::move(Ended);
+    this->Table.applyReport(Worker, Report, this->Now, this->Now, 2'000);
+  }
+
+  void end(const std::string &Worker, const std::string &Task, std::int64_t Run,
+           RunEnd How) {
+    this->report(Worker, {}, {{1, Task, Run, How, {}}});
+  }
+
+  JobPhase phase() { return this->Table.find(JobId)->Phase; }
+  std::string task(int Step, int Index) const {
+    return JobId + ".0." + std::to_string(Step) + "." + std::to_string(Index);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a job is completed when every task of every step is done") {
+  StepSpec Second = makeStep(1, false);
+  Second.After = {0};
+  Driver Of({makeStep(2, false), Second});
+  REQUIRE(Of.startAll() == 2);
+  Of.end("w0", Of.task(0, 0), 1, RunEnd::Done);
+  REQUIRE(Of.startAll() == 0);
+  Of.end("w1", Of.task(0, 1), 1, RunEnd::Done);
+  REQUIRE(Of.phase() == JobPhase::Running);
+  REQUIRE(Of.startAll() == 1);
+  Of.end("w0", Of.task(1, 0), 1, RunEnd::Done);
+  REQUIRE(Of.phase() == JobPhase::Completed);
+}
+
+TEST_CASE("only failures count as attempts, one for each run") {
+  struct Row {
+    RunEnd First;
+    RunEnd Second;
+    JobPhase Phase;
+  };
+  const auto Case =
+      GENERATE(Row{RunEnd::Failed, RunEnd::Failed, JobPhase::Failed},
+               Row{RunEnd::Failed, RunEnd::Lapsed, JobPhase::Running},
+               Row{RunEnd::Stopped, RunEnd::Broken, JobPhase::Running},
+               Row{RunEnd::Failed, RunEnd::Done, JobPhase::Completed});
+  Driver Of({makeStep(2, true)});
+  REQUIRE(Of.startAll() == 1);
+  // Both members of the first run end alike, yet it is one run.
+  Of.end("w0", Of.task(0, 0), 1, Case.First);
+  Of.end("w1", Of.task(0, 1), 1, Case.First);
+  REQUIRE(Of.phase() == JobPhase::Running);
+  REQUIRE(Of.startAll() == 1);
+  Of.end("w0", Of.task(0, 0), 2, Case.Second);
+  REQUIRE(Of.phase() == Case.Phase);
+}
+
+TEST_CASE("a gang is placed again only when no member is left") {
+  Driver Of({makeStep(2, true)});
+  Of.startAll();
+  Of.end("w0", Of.task(0, 0), 1, RunEnd::Lapsed);
+  REQUIRE(Of.startAll() == 0);
+  REQUIRE(Of.Table.membersOn("w1").size() == 1);
+  REQUIRE(Of.Table.membersOn("w1")[0].member().StopWanted);
+  Of.end("w1", Of.task(0, 1), 1, RunEnd::Stopped);
+  REQUIRE(Of.startAll() == 1);
+}
+
+TEST_CASE("a start without an answer keeps its place until a stop is accepted "
+          "and a later look does not show it") {
+  const auto Stopped = GENERATE(false, true);
+  Driver Of({makeStep(1, false)});
+  Unit *Only = Of.Table.placeable(Of.Now)[0];
+  const std::vector<PlaceRecord> Places{{"w0", 1}};
+  Of.Table.place(*Only, Places, Of.Now);
+  Of.Table.markSent({Only, 0}, 1, Of.Now);
+  if (Stopped)
+    Of.Table.stopAccepted(Of.task(0, 0), 1, Of.Now);
+  Of.report("w0", {}, {});
+  REQUIRE(Only->waiting() == Stopped);
+}
+
+TEST_CASE("work of an earlier owner that its worker does not show is over") {
+  const auto Shown = GENERATE(true, false);
+  JobTable Table;
+  const Instant Now{5'000};
+  Table.addSubmission(JobId, makeSubmission({makeStep(1, false)}), Now, 1'000);
+  UnitRecord Record;
+  Record.Run = 3;
+  Record.Places.push_back({"w0", 1});
+  Table.restoreUnit(JobId + ".0.0.0", Record, Now);
+  Table.unlock(Now, 1'000);
+  REQUIRE(Table.placeable(Now).empty());
+  WorkerReport Report;
+  if (Shown)
+    Report.Running.push_back({JobId + ".0.0.0", 3, {}, 100, 5});
+  Table.applyReport("w0", Report, Now, Now, 1'000);
+  REQUIRE(Table.placeable(Now).empty() == Shown);
+}
+
+TEST_CASE("a run that uses no processor is stopped, one that does is not") {
+  struct Row {
+    std::vector<std::int64_t> CpuMilli; ///< One look each 800 ms.
+    bool Stopped;
+  };
+  const auto Case = GENERATE(Row{{0, 0, 0}, true}, Row{{0, 500, 0}, false},
+                             Row{{0, 0}, false}, Row{{-1, -1, -1}, false});
+  Driver Of({makeStep(1, false)});
+  Of.startAll();
+  for (const std::int64_t CpuMilli : Case.CpuMilli) {
+    Of.Now = Of.Now + Duration{800};
+    Of.report("w0", {{Of.task(0, 0), 1, {}, 100, CpuMilli}}, {});
+  }
+  REQUIRE(Of.Table.membersOn("w0")[0].member().StopWanted == Case.Stopped);
+}
+
+TEST_CASE(
+    "a new life of a worker ends what ran there, not what is on its way") {
+  const auto Confirmed = GENERATE(true, false);
+  Driver Of({makeStep(1, false)});
+  Unit *Only = Of.Table.placeable(Of.Now)[0];
+  const std::vector<PlaceRecord> Places{{"w0", 1}};
+  Of.Table.place(*Only, Places, Of.Now);
+  Of.Table.markSent({Only, 0}, 1, Of.Now);
+  if (Confirmed)
+    Of.Table.confirm(Of.task(0, 0), 1, Of.Now);
+  Of.Table.workerReborn("w0", 2, Of.Now);
+  REQUIRE(Only->waiting() == Confirmed);
+}
+
+TEST_CASE("occurrences start when they are due, not before") {
+  StepSpec Step = makeStep(1, false);
+  SubmissionRecord Made = makeSubmission({Step});
+  Made.Job.Occurrences = 3;
+  Made.Job.FirstDueWallMs = 5'000;
+  Made.Job.IntervalMs = 1'000;
+  JobTable Table;
+  Table.addSubmission(JobId, Made, Instant{0}, 1'000);
+  const auto [WallMs, Open] = GENERATE(table<std::int64_t, std::size_t>(
+      {{4'999, 0}, {5'000, 1}, {6'500, 2}, {99'000, 3}}));
+  Table.unlock(Instant{10}, WallMs);
+  REQUIRE(Table.placeable(Instant{10}).size() == Open);
+}
+
+TEST_CASE("records of units are dropped with the end of their job") {
+  Driver Of({makeStep(1, false)});
+  Of.startAll();
+  Of.Table.takeRecords();
+  Of.end("w0", Of.task(0, 0), 1, RunEnd::Done);
+  const std::vector<JournalRecord> Records = Of.Table.takeRecords();
+  const auto Dropped = std::ranges::find(Records, unitKey(JobId + ".0.0.0"),
+                                         &JournalRecord::Key);
+  REQUIRE(Dropped != Records.end());
+  REQUIRE(Dropped->Value.empty());
+  Of.Table.expire(10'000);
+  REQUIRE(Of.Table.find(JobId) == nullptr);
+}
+
+} // namespace pistachioflow
