Serve metrics, bound the log, and test what the platform sends

Cause: an engineer on call had lines on standard error without a bound, and no counters; decoding had no tests.

--- a/include/pistachioflow/base/log.hpp
+++ b/include/pistachioflow/base/log.hpp
@@ -24,6 +24,17 @@
 /// instance's name. Call once, before other threads start.
 void startLogging(std::string_view InstanceName, LogLevel Lowest);
 
+/// Sends log lines of at least \p Lowest to standard output, and never waits
+/// for its reader: a line that does not fit is dropped and counted, and so are
+/// lines of one event beyond \p LinesPerSecond. The counts are logged. Call
+/// once, before other threads start.
+void startBoundedLogging(std::string_view InstanceName, LogLevel Lowest,
+                         std::int64_t LinesPerSecond);
+
+/// Lines that standard output had no room for since the start.
+/// Thread safety: may be called from any thread.
+std::uint64_t droppedLogLines();
+
 /// Writes one line of key=value pairs. Values are quoted where needed.
 /// Thread safety: may be called from any thread.
 void logEvent(LogLevel Level, std::string_view Event,
--- a/src/pistachioflow/base/log.cpp
+++ b/src/pistachioflow/base/log.cpp
@@ -1,17 +1,28 @@
 #include "pistachioflow/base/log.hpp"
 
+#include <atomic>
 #include <iomanip>
 #include <iostream>
+#include <memory>
+#include <mutex>
 #include <sstream>
 
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+#include <poll.h>
+#include <unistd.h>
+
+#include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/base/log_limit.hpp"
 
 namespace pistachioflow {
 
@@ -60,6 +71,35 @@
   return "invalid";
 }
 
+std::atomic<std::uint64_t> Dropped{0};
+
+/// Writes whole lines to standard output, or drops them.
+class BoundedOutput
+    : public logging::sinks::basic_formatted_sink_backend<char> {
+public:
+  void consume(const logging::record_view &, const string_type &Text) {
+    pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+    // A pipe that is ready takes PIPE_BUF bytes, more than a line has.
+    const bool Room =
+        ::poll(&Output, 1, 0) > 0 && (Output.revents & POLLOUT) != 0;
+    if (!Room ||
+        ::write(STDOUT_FILENO, (Text + "\n").data(), Text.size() + 1) < 0)
+      ++Dropped;
+  }
+};
+
+/// The bound of startBoundedLogging(); none before it is called.
+struct EventBound {
+  std::mutex Lock;
+  std::unique_ptr<LogLimit> Limit;
+  std::uint64_t DroppedSaid = 0;
+};
+
+EventBound &eventBound() {
+  static EventBound Instance;
+  return Instance;
+}
+
 using Logger = logging::sources::severity_logger_mt<LogLevel>;
 
 Logger &logger() {
@@ -67,26 +107,74 @@
   return Instance;
 }
 
+auto lineFormat(std::string_view InstanceName) {
+  return logging::expressions::stream
+         << "time="
+         << logging::expressions::format_date_time<boost::posix_time::ptime>(
+                "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+         << " instance=" << std::string(InstanceName) << " "
+         << logging::expressions::smessage;
+}
+
+void setLowest(LogLevel Lowest) {
+  logging::core::get()->set_filter(
+      logging::expressions::attr<LogLevel>("Severity") >= Lowest);
+}
+
+void writeCount(std::string_view Event, std::string_view Of,
+                std::uint64_t Count) {
+  BOOST_LOG_SEV(logger(), LogLevel::Warning)
+      << "level=" << levelName(LogLevel::Warning) << ' '
+      << formatFields(
+             Event, {{"of", Of}, {"count", static_cast<std::int64_t>(Count)}});
+}
+
+/// Applies the bound, and says what was left out before.
+bool admitted(std::string_view Event) {
+  EventBound &Bound = eventBound();
+  const std::lock_guard Guard(Bound.Lock);
+  if (!Bound.Limit)
+    return true;
+  if (!Bound.Limit->admit(Event, SystemClock().monotonic()))
+    return false;
+  const std::int64_t Suppressed = Bound.Limit->takeSuppressed(Event);
+  if (Suppressed > 0)
+    writeCount("log_suppressed", Event, static_cast<std::uint64_t>(Suppressed));
+  const std::uint64_t Lost = Dropped.load();
+  if (Lost > Bound.DroppedSaid) {
+    writeCount("log_dropped", "lines", Lost - Bound.DroppedSaid);
+    Bound.DroppedSaid = Lost;
+  }
+  return true;
+}
+
 } // namespace
 
 void startLogging(std::string_view InstanceName, LogLevel Lowest) {
   logging::add_common_attributes();
-  logging::add_console_log(
-      std::clog,
-      logging::keywords::format =
-          (logging::expressions::stream
-           << "time="
-           << logging::expressions::format_date_time<boost::posix_time::ptime>(
-                  "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-           << " instance=" << std::string(InstanceName) << " "
-           << logging::expressions::smessage),
-      logging::keywords::auto_flush = true);
-  logging::core::get()->set_filter(
-      logging::expressions::attr<LogLevel>("Severity") >= Lowest);
+  logging::add_console_log(std::clog,
+                           logging::keywords::format = lineFormat(InstanceName),
+                           logging::keywords::auto_flush = true);
+  setLowest(Lowest);
+}
+
+void startBoundedLogging(std::string_view InstanceName, LogLevel Lowest,
+                         std::int64_t LinesPerSecond) {
+  logging::add_common_attributes();
+  using Sink = logging::sinks::synchronous_sink<BoundedOutput>;
+  auto Output = boost::make_shared<Sink>();
+  Output->set_formatter(lineFormat(InstanceName));
+  logging::core::get()->add_sink(Output);
+  setLowest(Lowest);
+  eventBound().Limit = std::make_unique<LogLimit>(LinesPerSecond);
 }
 
+std::uint64_t droppedLogLines() { return Dropped.load(); }
+
 void logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields) {
+  if (!admitted(Event))
+    return;
   BOOST_LOG_SEV(logger(), Level)
       << "level=" << levelName(Level) << ' ' << formatFields(Event, Fields);
 }
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "pistachioflow/base/log.hpp"
+#include "pistachioflow/entry/metrics.hpp"
 #include "pistachioflow/platform/job_codec.hpp"
 
 namespace pistachioflow {
@@ -73,6 +74,7 @@
   Call Of;
   HttpResponse Refused = this->filter(Request, Of);
   if (Refused.Status != 0) {
+    entryMetrics().CallsFiltered.add();
     logCall("call_refused", Request.Target, Refused.Status, "filter", {});
     co_return Refused;
   }
@@ -106,6 +108,7 @@
     co_return HttpResponse{400, {}, Reason};
   }
   if (this->storeFailing()) {
+    entryMetrics().SubmitsRefused.add();
     logCall("submit_refused", Of.JobId, 503, "store_failing", took());
     co_return refusal(503, RetryAfterStore);
   }
@@ -118,6 +121,8 @@
       co_await this->Writer.write(std::move(Records), CallerPatience);
   if (Outcome == WriteOutcome::Stored) {
     this->Board.apply(Own);
+    entryMetrics().SubmitsAccepted.add();
+    entryMetrics().SubmitMs.record(static_cast<double>(took().Ms));
     logEvent(LogLevel::Info, "submit_accepted",
              {{"id", Of.JobId},
               {"queue", Record.Queue},
@@ -128,9 +133,11 @@
     co_return plain(200);
   }
   if (Outcome == WriteOutcome::NotStored) {
+    entryMetrics().SubmitsRefused.add();
     logCall("submit_refused", Of.JobId, 503, "not_stored", took());
     co_return refusal(503, RetryAfterStore);
   }
+  entryMetrics().SubmitsUnknown.add();
   logCall("submit_unknown", Of.JobId, 504, "no_answer", took());
   co_return plain(504);
 }
@@ -146,9 +153,11 @@
     }
   }
   if (!Known) {
+    entryMetrics().StatesUnknown.add();
     logCall("state_unknown", Of.JobId, 410, "no_such_job", {});
     co_return plain(410);
   }
+  entryMetrics().StatesAnswered.add();
   co_return json(encodeJobState(shownPhase(*Known)));
 }
 
@@ -178,6 +187,7 @@
       co_await this->Writer.write(std::move(Records), CallerPatience);
   if (Outcome == WriteOutcome::Stored) {
     this->Board.apply(Own);
+    entryMetrics().CancelsAccepted.add();
     logCall("cancel_accepted", Of.JobId, 200, "stored", took());
     co_return plain(200);
   }
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "pistachioflow/base/log.hpp"
+#include "pistachioflow/entry/metrics.hpp"
 
 namespace pistachioflow {
 
@@ -45,6 +46,37 @@
 
 namespace {
 
+void countEvent(const TableEvent &Event) {
+  EntryMetrics &Metrics = entryMetrics();
+  const auto Took = static_cast<double>(Event.Ms);
+  switch (Event.What) {
+  case TableEvent::Kind::Placed:
+    Metrics.PlaceMs.record(Took);
+    break;
+  case TableEvent::Kind::Confirmed:
+    Metrics.Starts.add();
+    Metrics.StartMs.record(Took);
+    break;
+  case TableEvent::Kind::Refused:
+    Metrics.StartsRefused.add();
+    break;
+  case TableEvent::Kind::Ended:
+    Metrics.RunsEnded.add();
+    break;
+  case TableEvent::Kind::Vanished:
+    Metrics.RunsLost.add();
+    break;
+  case TableEvent::Kind::JobEnded:
+    Metrics.JobsEnded.add();
+    Metrics.JobMs.record(Took);
+    break;
+  case TableEvent::Kind::Stuck:
+  case TableEvent::Kind::StopWanted:
+  case TableEvent::Kind::UnitDone:
+    break;
+  }
+}
+
 /// Keeps the follower alive until its last read has ended.
 asio::awaitable<void> followTopic(std::shared_ptr<TopicFollower> List) {
   co_await List->run();
@@ -83,6 +115,8 @@
   this->Current->Epoch = Epoch;
   this->Current->Writer = std::move(Writer);
   this->Current->BegunAt = this->Time.monotonic();
+  entryMetrics().Tenures.add();
+  entryMetrics().Epoch.set(Epoch);
   logEvent(LogLevel::Info, "ownership_gained", {{"epoch", Epoch}});
 }
 
@@ -157,6 +191,7 @@
       }
     }
   }
+  entryMetrics().LoadMs.record(static_cast<double>((Now - Of.BegunAt).Ms));
   logEvent(LogLevel::Info, "state_loaded",
            {{"epoch", Of.Epoch},
             {"records", static_cast<std::int64_t>(Of.Loaded.size())},
@@ -270,6 +305,9 @@
   const Instant Now = this->Time.monotonic();
   const PlanningResult Plan =
       planRound({Of.Table, Of.Workers, this->Desired, this->Durations, Now});
+  entryMetrics().Waiting.set(
+      static_cast<std::int64_t>(Plan.Waiting - Plan.Starts.size()));
+  entryMetrics().Preemptions.add(Plan.Preempted.size());
   for (const UnitPlacement &Start : Plan.Starts)
     Of.Table.place(*Start.Of, Start.Places, Now);
   for (Unit *Victim : Plan.Preempted)
@@ -547,6 +585,7 @@
 
 void Dispatcher::holdAnswered(const Held &Of, const Link &Worker,
                               const WorkerReport &Report, Instant AskedAt) {
+  entryMetrics().Holds.add();
   const Instant Now = this->Time.monotonic();
   if (Worker->SilentSince.Ms != 0 && Worker->Synced)
     logEvent(LogLevel::Info, "worker_regained",
@@ -579,6 +618,7 @@
 
 void Dispatcher::holdFailed(const Held &Of, const Link &Worker,
                             OrderOutcome Outcome) {
+  entryMetrics().HoldsFailed.add();
   const Instant Now = this->Time.monotonic();
   if (Worker->SilentSince.Ms == 0) {
     Worker->SilentSince = Now;
@@ -621,6 +661,7 @@
                              "stop_wanted", "unit_done",    "job_ended"};
   for (const TableEvent &Event : Of.Table.takeEvents()) {
     this->learnFromEvents(Of, Event);
+    countEvent(Event);
     const std::string_view Name = Names[static_cast<std::size_t>(Event.What)];
     if (Event.What == TableEvent::Kind::UnitDone)
       continue;
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -6,6 +6,7 @@
 #include "pistachioflow/base/log.hpp"
 #include "pistachioflow/entry/caller_api.hpp"
 #include "pistachioflow/entry/dispatcher.hpp"
+#include "pistachioflow/entry/metrics.hpp"
 #include "pistachioflow/entry/ownership.hpp"
 #include "pistachioflow/net/http_client.hpp"
 #include "pistachioflow/net/http_server.hpp"
@@ -36,6 +37,7 @@
         std::string Path);
 
   asio::awaitable<HttpResponse> ready();
+  asio::awaitable<HttpResponse> metrics(HttpRequest Request) const;
   asio::awaitable<void> leave();
   void applyDesired(const JournalRecord &Record);
   void applyJournal(const JournalRecord &Record);
@@ -57,6 +59,7 @@
   CallerApi Callers;
   HttpServer CallerServer;
   HttpServer ReadyServer;
+  HttpServer MetricsServer;
   bool Leaving = false;
 };
 
@@ -104,7 +107,10 @@
                    [this](HttpRequest Request) {
                      return this->Callers.handle(std::move(Request));
                    }),
-      ReadyServer(Io, [this](HttpRequest) { return this->ready(); }) {}
+      ReadyServer(Io, [this](HttpRequest) { return this->ready(); }),
+      MetricsServer(Io, [this](HttpRequest Request) {
+        return this->metrics(std::move(Request));
+      }) {}
 
 bool Instance::Parts::journalReadable() const {
   return this->Journal.caughtUp() &&
@@ -117,6 +123,18 @@
   co_return HttpResponse{Ready ? 200 : 503, {}, {}};
 }
 
+asio::awaitable<HttpResponse>
+Instance::Parts::metrics(HttpRequest Request) const {
+  HttpResponse Response;
+  Response.Status = Request.Target == "/metrics" ? 200 : 404;
+  if (Response.Status == 200) {
+    entryMetrics().LogLinesDropped.set(
+        static_cast<std::int64_t>(droppedLogLines()));
+    Response.Body = entryMetrics().Registry.print();
+  }
+  co_return Response;
+}
+
 void Instance::Parts::applyDesired(const JournalRecord &Record) {
   if (Record.Key != DesiredStateKey || Record.Value.empty())
     return;
@@ -136,6 +154,7 @@
   Limits.RequestTimeout = {this->Desired.HeaderTimeoutMs};
   Limits.IdleTimeout = {this->Desired.IdleTimeoutMs};
   this->CallerServer.setLimits(Limits);
+  entryMetrics().DesiredVersion.set(this->Desired.Version);
   logEvent(LogLevel::Info, "desired_state",
            {{"version", this->Desired.Version},
             {"queues", static_cast<std::int64_t>(this->Desired.Queues.size())},
@@ -194,6 +213,9 @@
       Of.ReadyServer.listen(parseEndpoint(Of.Settings.ReadyAddress));
   if (!Listening)
     return false;
+  // Metrics are worth less than service: a taken port is only logged.
+  if (!Of.Settings.MetricsAddress.empty())
+    Of.MetricsServer.listen(parseEndpoint(Of.Settings.MetricsAddress));
   spawnTask(Of.Io, "run", Of.Operators.run());
   spawnTask(Of.Io, "run", Of.Journal.run());
   spawnTask(Of.Io, "run", Of.Owning.run());
--- a/src/pistachioflow/entry/journal_writer.cpp
+++ b/src/pistachioflow/entry/journal_writer.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pistachioflow/base/log.hpp"
+#include "pistachioflow/entry/metrics.hpp"
 
 namespace pistachioflow {
 
@@ -82,6 +83,7 @@
     Bytes += Added;
     this->Batch.push_back(std::move(this->Queue.front()));
     this->Queue.pop_front();
+    entryMetrics().AppendedBytes.add(Added);
     const auto &Taken = this->Batch.back()->Records;
     Records.insert(Records.end(), Taken.begin(), Taken.end());
   }
@@ -108,14 +110,19 @@
     Producer Writer{this->Id, this->Epoch, this->Sequence};
     std::string Topic(JournalTopic);
     const std::optional<std::int64_t> AnyEnd;
+    const Instant SentAt = this->Time.monotonic();
     const AppendAnswer Answer = co_await this->Store.append(
         std::move(Topic), Records, std::move(Writer), AnyEnd, AppendTimeout);
+    entryMetrics().Appends.add();
     if (Answer.Outcome == AppendOutcome::Appended) {
+      entryMetrics().AppendMs.record(
+          static_cast<double>((this->Time.monotonic() - SentAt).Ms));
       this->FailingSince = {};
       ++this->Sequence;
       this->resolveBatch(WriteOutcome::Stored);
       continue;
     }
+    entryMetrics().AppendsFailed.add();
     const Instant Now = this->Time.monotonic();
     if (this->FailingSince.Ms == 0)
       this->FailingSince = Now;
--- /dev/null
+++ b/src/pistachioflow/entry/ownership_test.cpp
@@ -0,0 +1,38 @@
+#include "pistachioflow/entry/ownership.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace pistachioflow {
+
+TEST_CASE("an instance claims only what is vacant or silent") {
+  struct Row {
+    const char *Why;
+    std::int64_t Epoch;
+    bool Resigned;
+    bool Readable;
+    bool Leaving;
+    std::int64_t HeardMs;   ///< Before now.
+    std::int64_t HealthyMs; ///< Before now.
+    bool Claims;
+  };
+  const auto Case = GENERATE(
+      Row{"never owned", 0, false, true, false, 9'000, 9'000, true},
+      Row{"resigned", 3, true, true, false, 200, 9'000, true},
+      Row{"alive", 3, false, true, false, 400, 9'000, false},
+      Row{"silent", 3, false, true, false, 1'700, 9'000, true},
+      Row{"silent, store just back", 3, false, true, false, 9'000, 300, false},
+      Row{"store away", 3, false, false, false, 9'000, 9'000, false},
+      Row{"leaving", 3, false, true, true, 9'000, 9'000, false});
+  CAPTURE(Case.Why);
+  const Instant Now{100'000};
+  OwnershipView View;
+  View.Newest.Epoch = Case.Epoch;
+  View.Newest.Resigned = Case.Resigned;
+  View.Readable = Case.Readable;
+  View.Leaving = Case.Leaving;
+  View.HeardAt = Now - Duration{Case.HeardMs};
+  View.HealthySince = Now - Duration{Case.HealthyMs};
+  REQUIRE(shouldClaim(View, {}, {100}, Now) == Case.Claims);
+}
+
+} // namespace pistachioflow
--- a/src/pistachioflow/entry/topic_follower.cpp
+++ b/src/pistachioflow/entry/topic_follower.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pistachioflow/base/log.hpp"
+#include "pistachioflow/entry/metrics.hpp"
 
 namespace pistachioflow {
 
@@ -105,6 +106,7 @@
   const Duration Wait = Behind ? Duration{0} : ReadWait;
   const ReadAnswer Answer = co_await this->Store.read(this->Topic, this->Next,
                                                       Wait, Wait + ReadSlack);
+  entryMetrics().Reads.add();
   if (!this->Loaded || this->Stopped)
     co_return;
   if (Answer.Outcome == ReadOutcome::Expired) {
@@ -131,6 +133,7 @@
 }
 
 void TopicFollower::contactLost(std::string_view Reason) {
+  entryMetrics().ReadsFailed.add();
   if (!this->Lost)
     logEvent(LogLevel::Warning, "store_lost",
              {{"topic", this->Topic}, {"reason", Reason}});
--- a/src/pistachioflow/entryd/main.cpp
+++ b/src/pistachioflow/entryd/main.cpp
@@ -23,6 +23,9 @@
 
 using namespace pistachioflow;
 
+/// A busy owner writes some hundred lines a second over all events.
+constexpr std::int64_t EventLinesPerSecond = 500;
+
 std::string settingsPath() {
   const std::string Given = absl::GetFlag(FLAGS_settings);
   if (!Given.empty())
--- /dev/null
+++ b/src/pistachioflow/platform/codecs_test.cpp
@@ -0,0 +1,145 @@
+// What callers, operators, workers and the store send, decoded.
+
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "pistachioflow/platform/desired_state_codec.hpp"
+#include "pistachioflow/platform/instance_settings.hpp"
+#include "pistachioflow/platform/job_codec.hpp"
+#include "pistachioflow/platform/store_client.hpp"
+#include "pistachioflow/platform/worker_client.hpp"
+
+namespace pistachioflow {
+
+namespace {
+
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  const auto At = Text.find(From);
+  return At == std::string::npos ? Text : Text.replace(At, From.size(), To);
+}
+
+const std::string GoodEntry =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",)"
+    R"("slots":8,"state":"ready","cold_remaining_ms":0,)"
+    R"("capacity":{"cpu":16000,"memory_request_mb":32768,"gpus":8},)"
+    R"("labels":["a","r1"],"clock_ms":482113,"sequence":4,"born":77})";
+
+const std::string GoodSettings =
+    R"({"node_name":"e1","zone":"z","ip_address":"10.1.0.1",)"
+    R"("internal_port_range":[7000,7015],)"
+    R"("listen_addresses":{"frontend":"10.1.0.1:1","ready":"10.1.0.1:2"},)"
+    R"("platform":{"address":"10.2.0.1:3"},"bounds":{"grace_period_s":6},)"
+    R"("a_field_of_tomorrow":{"x":[1]}})";
+
+} // namespace
+
+TEST_CASE("entries of other writers name no worker") {
+  const auto Entry = GENERATE(
+      std::string("junk"), std::string("[]"), std::string("\xff\x00x"),
+      replaced(GoodEntry, "\"ready\"", "\"resting\""),
+      replaced(GoodEntry, "\"state\"", "\"status\""),
+      replaced(GoodEntry, "16000", "\"many\""),
+      replaced(GoodEntry, R"("labels":["a","r1"],)", ""),
+      replaced(GoodEntry, R"("sequence":4,)", ""),
+      replaced(GoodEntry, R"("10.0.0.9:80")", "7"));
+  REQUIRE_FALSE(decodeWorkerEntry(Entry));
+}
+
+TEST_CASE("a worker's entry is decoded, also while it drains") {
+  const auto Draining = GENERATE(false, true);
+  std::string Text = GoodEntry;
+  if (Draining)
+    Text = replaced(replaced(Text, "\"ready\"", "\"draining\""), "{",
+                    R"({"remaining_ms":1900,)");
+  const auto Entry = decodeWorkerEntry(Text);
+  REQUIRE(Entry);
+  REQUIRE(Entry->Draining == Draining);
+  REQUIRE(Entry->RemainingMs == (Draining ? 1'900 : 0));
+  REQUIRE(Entry->Capacity.Accelerators == 8);
+  REQUIRE(Entry->BornWallMs == 77);
+}
+
+TEST_CASE("a report with a malformed row is no report") {
+  const auto [Text, Valid] = GENERATE(table<std::string, bool>(
+      {{R"({"clock_ms":1,"running":[],"ended_runs":[]})", true},
+       {R"({"clock_ms":1,"running":[["t",2,"",100,5]],)"
+        R"("ended_runs":[[1,"t",1,"done",""]]})",
+        true},
+       {R"({"clock_ms":1,"running":[["t"]],"ended_runs":[]})", false},
+       {R"({"clock_ms":1,"running":[]})", false},
+       {R"({"running":[],"ended_runs":[]})", false},
+       {"", false}}));
+  REQUIRE(decodeWorkerReport(Text).has_value() == Valid);
+}
+
+TEST_CASE("a job's body is checked") {
+  const auto [Text, Valid] = GENERATE(table<std::string, bool>(
+      {{R"({"specification":"x","steps":[{"count":4,"cpu":500}]})", true},
+       {R"({"steps":[{"count":2},{"count":1,"after":[0]}]})", true},
+       {R"({"steps":[{"count":2,"after":[0]}]})", false},
+       {R"({"steps":[]})", false},
+       {R"({"steps":[{"count":0}]})", false},
+       {R"({"steps":[{"count":"four"}]})", false},
+       {"{", false}}));
+  REQUIRE(decodeJobSpec(Text).has_value() == Valid);
+}
+
+TEST_CASE("settings report every finding and ignore unknown fields") {
+  REQUIRE(decodeInstanceSettings(GoodSettings));
+  REQUIRE(decodeInstanceSettings(GoodSettings).value().MetricsAddress ==
+          "10.1.0.1:7000");
+  const std::string Broken =
+      replaced(replaced(GoodSettings, "node_name", "name"),
+               R"("grace_period_s":6)", R"("grace_period_s":"six")");
+  const auto Read = decodeInstanceSettings(Broken);
+  REQUIRE_FALSE(Read);
+  REQUIRE(Read.error().Details.size() == 2);
+}
+
+TEST_CASE("keys, queues and guarantees of a desired state are found") {
+  const std::string Text =
+      R"({"version":7,"routes":[)"
+      R"({"name":"a","host":"h","path_prefix":"/q/","service":"s"},)"
+      R"({"name":"b","host":"h","path_prefix":"/q/deep/","service":"s"}],)"
+      R"("tenants":[{"name":"t","api_keys":["k1","k2"],)"
+      R"("guaranteed":{"gpus":72}}]})";
+  const DesiredState State = decodeDesiredState(Text).value();
+  const auto [Host, Path, Name] =
+      GENERATE(table<std::string, std::string, std::string>(
+          {{"h", "/q/1", "a"},
+           {"h:80", "/q/deep/1", "b"},
+           {"other", "/q/1", ""},
+           {"h", "/r/1", ""}}));
+  const QueueConfig *Found = findQueue(State, Host, Path);
+  REQUIRE((Found ? Found->Name : "") == Name);
+  REQUIRE(State.WorkspaceOfKey.at("k2") == "t");
+  REQUIRE(findWorkspace(State, "t")->GuaranteedAccelerators == 72);
+}
+
+TEST_CASE("records keep their place among records of other writers") {
+  const std::vector<JournalRecord> Records{{"k", "v"}, {"gone", ""}};
+  std::string Bytes = encodeRecords(Records);
+  // A record whose key is longer than itself.
+  Bytes += std::string("\x00\x00\x00\x02\x09x", 6);
+  bool Malformed = true;
+  const auto Read = decodeRecords(Bytes, Malformed);
+  REQUIRE_FALSE(Malformed);
+  REQUIRE(Read.size() == 3);
+  REQUIRE(Read[0].Value == "v");
+  REQUIRE(Read[2].Key.empty());
+  decodeRecords(Bytes.substr(0, Bytes.size() - 1), Malformed);
+  REQUIRE(Malformed);
+}
+
+TEST_CASE("ids and keys of callers") {
+  const auto [Id, Valid] = GENERATE(table<std::string, bool>(
+      {{"5c0e7a21d94b36f8", true}, {"5c0e7a21d94b36f", false},
+       {"5c0e7a21d94b36fg", false}, {"", false}}));
+  REQUIRE(isJobId(Id) == Valid);
+  REQUIRE(callerKey("Bearer abc") == "abc");
+  REQUIRE(callerKey("Basic abc").empty());
+}
+
+} // namespace pistachioflow
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -181,6 +181,18 @@
   REQUIRE(Of.Table.membersOn("w0")[0].member().StopWanted == Case.Stopped);
 }
 
+TEST_CASE("a gang stands still only when all its members do") {
+  const auto OtherMilli = GENERATE(std::int64_t{0}, std::int64_t{700});
+  Driver Of({makeStep(2, true)});
+  Of.startAll();
+  for (int Look = 0; Look < 4; ++Look) {
+    Of.Now = Of.Now + Duration{800};
+    Of.report("w0", {{Of.task(0, 0), 1, {}, 100, 0}}, {});
+    Of.report("w1", {{Of.task(0, 1), 1, {}, 100, OtherMilli}}, {});
+  }
+  REQUIRE(Of.Table.membersOn("w0")[0].member().StopWanted == (OtherMilli == 0));
+}
+
 TEST_CASE(
     "a new life of a worker ends what ran there, not what is on its way") {
   const auto Confirmed = GENERATE(true, false);
