--- a/include/pistachioflow/entry/tasks.hpp
+++ b/include/pistachioflow/entry/tasks.hpp
@@ -23,17 +23,18 @@
 /// else would do its work; the log names it.
 inline void spawnTask(asio::io_context &Io, std::string_view Name,
                       asio::awaitable<void> Task) {
-  asio::co_spawn(Io, std::move(Task), [Name](std::exception_ptr Failure) {
-    if (!Failure)
-      return;
-    try {
-      std::rethrow_exception(Failure);
-    } catch (const std::exception &Caught) {
-      logEvent(LogLevel::Error, "task_failed",
-               {{"task", Name}, {"reason", Caught.what()}});
-    }
-    std::terminate();
-  });
+  asio::co_spawn(Io, std::move(Task),
+                 [Name](const std::exception_ptr &Failure) {
+                   if (!Failure)
+                     return;
+                   try {
+                     std::rethrow_exception(Failure);
+                   } catch (const std::exception &Caught) {
+                     logEvent(LogLevel::Error, "task_failed",
+                              {{"task", Name}, {"reason", Caught.what()}});
+                   }
+                   std::terminate();
+                 });
 }
 
 /// Suspends the calling coroutine for \p Span.
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -96,20 +96,20 @@
 
 asio::awaitable<HttpResponse> CallerApi::submit(Call Of, std::string Body) {
   const Instant Begun = this->Time.monotonic();
-  const auto took = [&] { return this->Time.monotonic() - Begun; };
+  const auto Took = [&] { return this->Time.monotonic() - Begun; };
   if (this->Board.find(Of.JobId)) {
-    logCall("submit_repeated", Of.JobId, 200, "known", took());
+    logCall("submit_repeated", Of.JobId, 200, "known", Took());
     co_return plain(200);
   }
   Result<JobSpec> Spec = decodeJobSpec(Body);
   if (!Spec) {
     const std::string Reason = formatFindings(Spec.error().Details);
-    logCall("submit_refused", Of.JobId, 400, Reason, took());
+    logCall("submit_refused", Of.JobId, 400, Reason, Took());
     co_return HttpResponse{400, {}, Reason};
   }
   if (this->storeFailing()) {
     entryMetrics().SubmitsRefused.add();
-    logCall("submit_refused", Of.JobId, 503, "store_failing", took());
+    logCall("submit_refused", Of.JobId, 503, "store_failing", Took());
     co_return refusal(503, RetryAfterStore);
   }
   SubmissionRecord Record{Of.Queue->Name, Of.Workspace, this->Time.wall().Ms,
@@ -122,23 +122,23 @@
   if (Outcome == WriteOutcome::Stored) {
     this->Board.apply(Own);
     entryMetrics().SubmitsAccepted.add();
-    entryMetrics().SubmitMs.record(static_cast<double>(took().Ms));
+    entryMetrics().SubmitMs.record(static_cast<double>(Took().Ms));
     logEvent(LogLevel::Info, "submit_accepted",
              {{"id", Of.JobId},
               {"queue", Record.Queue},
               {"workspace", Record.Workspace},
               {"priority", Record.Terms.Priority},
               {"version", this->Desired.Version},
-              {"ms", took().Ms}});
+              {"ms", Took().Ms}});
     co_return plain(200);
   }
   if (Outcome == WriteOutcome::NotStored) {
     entryMetrics().SubmitsRefused.add();
-    logCall("submit_refused", Of.JobId, 503, "not_stored", took());
+    logCall("submit_refused", Of.JobId, 503, "not_stored", Took());
     co_return refusal(503, RetryAfterStore);
   }
   entryMetrics().SubmitsUnknown.add();
-  logCall("submit_unknown", Of.JobId, 504, "no_answer", took());
+  logCall("submit_unknown", Of.JobId, 504, "no_answer", Took());
   co_return plain(504);
 }
 
@@ -163,20 +163,20 @@
 
 asio::awaitable<HttpResponse> CallerApi::cancel(Call Of) {
   const Instant Begun = this->Time.monotonic();
-  const auto took = [&] { return this->Time.monotonic() - Begun; };
+  const auto Took = [&] { return this->Time.monotonic() - Begun; };
   const JobBoard::Entry *Known = this->Board.find(Of.JobId);
   if (!Known) {
     const bool Fresh = co_await this->Journal.refresh(NewsWait);
     Known = this->Board.find(Of.JobId);
     if (!Known) {
       logCall("cancel_unknown", Of.JobId, Fresh ? 410 : 503, "no_such_job",
-              took());
+              Took());
       co_return Fresh ? plain(410) : refusal(503, RetryAfterStore);
     }
   }
   if (hasEnded(shownPhase(*Known))) {
     logCall("cancel_repeated", Of.JobId, 200, toString(shownPhase(*Known)),
-            took());
+            Took());
     co_return plain(200);
   }
   std::vector<JournalRecord> Records;
@@ -188,10 +188,10 @@
   if (Outcome == WriteOutcome::Stored) {
     this->Board.apply(Own);
     entryMetrics().CancelsAccepted.add();
-    logCall("cancel_accepted", Of.JobId, 200, "stored", took());
+    logCall("cancel_accepted", Of.JobId, 200, "stored", Took());
     co_return plain(200);
   }
-  logCall("cancel_refused", Of.JobId, 503, "not_stored", took());
+  logCall("cancel_refused", Of.JobId, 503, "not_stored", Took());
   co_return Outcome == WriteOutcome::NotStored ? refusal(503, RetryAfterStore)
                                                : plain(504);
 }
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -107,7 +107,7 @@
                    [this](HttpRequest Request) {
                      return this->Callers.handle(std::move(Request));
                    }),
-      ReadyServer(Io, [this](HttpRequest) { return this->ready(); }),
+      ReadyServer(Io, [this](const HttpRequest &) { return this->ready(); }),
       MetricsServer(Io, [this](HttpRequest Request) {
         return this->metrics(std::move(Request));
       }) {}
--- a/src/pistachioflow/entryd/main.cpp
+++ b/src/pistachioflow/entryd/main.cpp
@@ -61,8 +61,10 @@
   }
   if (absl::GetFlag(FLAGS_check))
     return EXIT_SUCCESS;
-  startLogging(Settings.value().Instance,
-               absl::GetFlag(FLAGS_verbose) ? LogLevel::Debug : LogLevel::Info);
+  startBoundedLogging(Settings.value().Instance,
+                      absl::GetFlag(FLAGS_verbose) ? LogLevel::Debug
+                                                   : LogLevel::Info,
+                      EventLinesPerSecond);
   const SystemClock Time;
   asio::io_context Io(1);
   Instance Running(Io, Time, std::move(Settings.value()), Path);
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -494,17 +494,17 @@
   if (Entry.IdleSince.Ms == 0)
     Entry.IdleSince = Now;
   // Members that are through wait idle for the others of their gang.
-  const auto idleFor = [Now](const Member &At) {
+  const auto IdleFor = [Now](const Member &At) {
     return At.IdleSince.Ms == 0 ? Duration{0} : Now - At.IdleSince;
   };
   const bool AllIdle = std::ranges::all_of(
-      Of.Members, [&](const Member &At) { return idleFor(At) >= StuckAfter; });
+      Of.Members, [&](const Member &At) { return IdleFor(At) >= StuckAfter; });
   if (!AllIdle || Entry.StopWanted)
     return;
   const Member &First = *std::ranges::max_element(
-      Of.Members, {}, [&](const Member &At) { return idleFor(At).Ms; });
+      Of.Members, {}, [&](const Member &At) { return IdleFor(At).Ms; });
   this->note(TableEvent::Kind::Stuck, Of.name(), First.Worker, Of.Run, {},
-             idleFor(First).Ms);
+             IdleFor(First).Ms);
   Of.FailedOn.insert(First.Worker);
   this->stopMembers(Of, Now);
 }
--- a/src/pistachioflow/sched/queue_order.cpp
+++ b/src/pistachioflow/sched/queue_order.cpp
@@ -13,14 +13,14 @@
   const double ObjectiveMs =
       Inputs.Stretch * static_cast<double>(Inputs.ChainMs) +
       static_cast<double>(Inputs.AllowanceMs);
-  const auto latestStart = [&Inputs](double LimitMs) {
+  const auto LatestStart = [&Inputs](double LimitMs) {
     return Inputs.DueAt +
            Duration{static_cast<std::int64_t>(LimitMs) - Inputs.LeftMs};
   };
-  const Instant InTime = latestStart(ObjectiveMs);
+  const Instant InTime = LatestStart(ObjectiveMs);
   if (Now <= InTime)
     return {Inputs.Priority, 0, InTime};
-  const Instant Late = latestStart(LateFactor * ObjectiveMs);
+  const Instant Late = LatestStart(LateFactor * ObjectiveMs);
   if (Now <= Late)
     return {Inputs.Priority, 1, Late};
   return {Inputs.Priority, 2, Inputs.DueAt};
