--- a/include/pistachioflow/entry/topic_follower.hpp
+++ b/include/pistachioflow/entry/topic_follower.hpp
@@ -46,6 +46,8 @@
   bool caughtUp() const { return this->CaughtUpNow; }
   /// When the store answered a read last.
   Instant lastContact() const { return this->LastContact; }
+  /// Since when reads fail; 0 while they are answered.
+  Instant lostSince() const { return this->LostSince; }
   /// Offset of the next record.
   std::int64_t position() const { return this->Next; }
 
@@ -73,7 +75,7 @@
   bool Loaded = false;
   bool CaughtUpNow = false;
   bool Stopped = false;
-  bool Lost = false;
+  Instant LostSince;
 };
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -13,10 +13,12 @@
 
 /// An answer about an unknown job waits this long for news of the journal.
 constexpr Duration NewsWait{400};
-/// The journal is refused to be written for this long before new work is
-/// turned away at once.
+/// Reads or writes of the journal fail for this long before new work is turned
+/// away at once.
 constexpr Duration FailingLimit{300};
-constexpr WritePatience CallerPatience;
+/// Callers wait about 3 s in all. An early answer leaves them time to come back
+/// to an instance that reaches the store.
+constexpr WritePatience CallerPatience{{300}, {900}};
 /// Retry-After while the store is away, in seconds: other instances may reach
 /// it, so callers need not wait long.
 constexpr std::int64_t RetryAfterStore = 1;
@@ -90,8 +92,12 @@
 }
 
 bool CallerApi::storeFailing() const {
-  const Instant Since = this->Writer.failingSince();
-  return Since.Ms != 0 && this->Time.monotonic() - Since > FailingLimit;
+  const Instant Now = this->Time.monotonic();
+  const auto TooLong = [Now](Instant Since) {
+    return Since.Ms != 0 && Now - Since > FailingLimit;
+  };
+  return TooLong(this->Writer.failingSince()) ||
+         TooLong(this->Journal.lostSince());
 }
 
 asio::awaitable<HttpResponse> CallerApi::submit(Call Of, std::string Body) {
--- a/src/pistachioflow/entry/topic_follower.cpp
+++ b/src/pistachioflow/entry/topic_follower.cpp
@@ -134,17 +134,18 @@
 
 void TopicFollower::contactLost(std::string_view Reason) {
   entryMetrics().ReadsFailed.add();
-  if (!this->Lost)
+  if (this->LostSince.Ms == 0) {
+    this->LostSince = this->Time.monotonic();
     logEvent(LogLevel::Warning, "store_lost",
              {{"topic", this->Topic}, {"reason", Reason}});
-  this->Lost = true;
+  }
 }
 
 void TopicFollower::contactMade() {
-  if (this->Lost)
+  if (this->LostSince.Ms != 0)
     logEvent(LogLevel::Info, "store_regained",
              {{"topic", this->Topic}, {"offset", this->Next}});
-  this->Lost = false;
+  this->LostSince = {};
   this->LastContact = this->Time.monotonic();
   this->CaughtUpNow = true;
   this->Applied.notify();
--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -21,7 +21,6 @@
 
 constexpr Demand WorkerCapacity{16'000, 16'000, 8};
 constexpr std::size_t WorkersPerRack = 4;
-constexpr Duration CallTimeout{3'500};
 constexpr Duration PollPause{25};
 constexpr Duration RetryPause{100};
 const std::string Host = "queue.example";
@@ -177,7 +176,8 @@
     HttpRequest Made = request("POST", Job.Id);
     Made.Body = Job.Body;
     const CallResult Call = co_await this->Members[Index]->Caller->call(
-        std::move(Made), CallTimeout);
+        std::move(Made), this->CallTimeout);
+    this->CallsWithoutAnswer += Call.Outcome == CallOutcome::NoAnswer ? 1 : 0;
     const int Status = Call.Response.Status;
     if (Call.Outcome == CallOutcome::Answered && Status / 100 == 2)
       Job.Accepted = true;
@@ -193,7 +193,7 @@
   HttpRequest Made = request("GET", JobId);
   const CallResult Call =
       co_await this->Members[Member % this->Members.size()]->Caller->call(
-          std::move(Made), CallTimeout);
+          std::move(Made), this->CallTimeout);
   if (Call.Outcome != CallOutcome::Answered)
     co_return std::string();
   if (Call.Response.Status == 410)
@@ -209,7 +209,7 @@
   HttpRequest Made = request("DELETE", JobId);
   const CallResult Call =
       co_await this->Members[Member % this->Members.size()]->Caller->call(
-          std::move(Made), CallTimeout);
+          std::move(Made), this->CallTimeout);
   co_return Call.Outcome == CallOutcome::Answered &&Call.Response.Status == 200;
 }
 
--- a/tests/platform/fleet.hpp
+++ b/tests/platform/fleet.hpp
@@ -98,6 +98,8 @@
 
 public:
   SystemClock Time;
+  Duration CallTimeout{3'500}; ///< Of a client; its deadline is 3 s.
+  std::int64_t CallsWithoutAnswer = 0;
   PlatformServer Platform;
   std::vector<std::unique_ptr<FleetMember>> Members;
 };
--- a/tests/platform/path_test.cpp
+++ b/tests/platform/path_test.cpp
@@ -186,6 +186,31 @@
   REQUIRE(Violations == std::vector<std::string>{});
 }
 
+TEST_CASE("a store that is silent to one instance leaves a caller time to try "
+          "another") {
+  // Half of the 3 s that callers wait.
+  static constexpr Duration HalfOfDeadline{1'500};
+  Fleet Of(Instances, WorkerCount, 1, folder("silent"));
+  const std::vector<std::string> Violations =
+      Of.run([](Fleet &Running) -> asio::awaitable<void> {
+        co_await waitForOwner(Running);
+        const auto Silent = static_cast<std::size_t>((Running.owner() + 1) % 3);
+        Running.Members[Silent]->StorePath->setFault(PathFault::Silent);
+        SubmittedJob Job = makeJob(9, 1, false, TaskScript{});
+        Running.CallTimeout = HalfOfDeadline;
+        co_await Running.submit(Job, Silent, 1);
+        if (Running.CallsWithoutAnswer != 0)
+          Running.violate("the caller was held");
+        Running.CallTimeout = {3'500};
+        Running.Members[Silent]->StorePath->setFault(PathFault::None);
+        std::vector<SubmittedJob> Jobs;
+        Jobs.push_back(Job);
+        co_await submitAll(Running, Jobs);
+        co_await expectCompleted(Running, Jobs);
+      });
+  REQUIRE(Violations == std::vector<std::string>{});
+}
+
 TEST_CASE("while the store refuses, new jobs are refused and old ones run on") {
   Fleet Of(Instances, WorkerCount, 1, folder("refusing"));
   const std::vector<std::string> Violations =
