--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -18,7 +18,7 @@
 
 /// Followers read the journal this often at most: answers about jobs are at
 /// most this much older than the owner's.
-constexpr Duration FollowerPace{50};
+constexpr Duration FollowerPace{120};
 /// The journal must have been heard of within this to be called up to date: a
 /// read's longest wait and a slow answer.
 constexpr Duration FreshLimit{2'000};
