Drop what nothing reads, and name the tasks in the log

Cause: reading the change as a newcomer: three fields and one accessor without a reader, three tasks logged under the same name. Change: removed and named. No change of behaviour.

--- a/include/pistachioflow/entry/ownership.hpp
+++ b/include/pistachioflow/entry/ownership.hpp
@@ -77,8 +77,7 @@
   bool owner() const { return this->Writer != nullptr; }
   std::int64_t epoch() const { return this->View.Newest.Epoch; }
   /// The writer of the owner's records. Precondition: owner().
-  JournalWriter &writer() { return *this->Writer; }
-  std::shared_ptr<JournalWriter> sharedWriter() { return this->Writer; }
+  std::shared_ptr<JournalWriter> writer() { return this->Writer; }
 
 private:
   asio::awaitable<void> claim();
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -7,7 +7,6 @@
 #include <string_view>
 #include <vector>
 
-#include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/sched/job_spec.hpp"
 
 namespace pistachioflow {
@@ -38,8 +37,6 @@
   /// Workers that already hold tasks of a group with a limit for each worker.
   std::vector<std::string> GroupOn;
   bool WithinGuarantee = false;
-  std::int64_t ExpectedMs = 0; ///< How long it will probably run.
-  bool MayReserve = false;     ///< Kept from starving by a reservation.
 };
 
 /// A unit that has a place.
@@ -51,7 +48,6 @@
   bool Stopping = false;
   bool BeyondGuarantee = false; ///< Its workspace uses more than its guarantee.
   double LostWork = 0;          ///< Core-seconds that a stop would throw away.
-  std::int64_t RemainingMs = 0; ///< Probable time to its end.
 };
 
 /// A unit's place: one room for each of its tasks, in the order of the tasks.
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -92,7 +92,7 @@
       Owning(Io, Store, Time, this->Name,
              static_cast<std::size_t>(this->Settings.StoreCallBytes),
              {[this](std::int64_t Epoch) {
-                this->Orders.begin(Epoch, this->Owning.sharedWriter());
+                this->Orders.begin(Epoch, this->Owning.writer());
                 this->Journal.setPace({0});
                 this->Journal.reload();
               },
@@ -216,9 +216,9 @@
   // Metrics are worth less than service: a taken port is only logged.
   if (!Of.Settings.MetricsAddress.empty())
     Of.MetricsServer.listen(parseEndpoint(Of.Settings.MetricsAddress));
-  spawnTask(Of.Io, "run", Of.Operators.run());
-  spawnTask(Of.Io, "run", Of.Journal.run());
-  spawnTask(Of.Io, "run", Of.Owning.run());
+  spawnTask(Of.Io, "follow_operators", Of.Operators.run());
+  spawnTask(Of.Io, "follow_journal", Of.Journal.run());
+  spawnTask(Of.Io, "ownership", Of.Owning.run());
   return true;
 }
 
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -148,8 +148,6 @@
   const std::int64_t Held = Used == Use.end() ? 0 : Used->second;
   Entry.WithinGuarantee = Held + Of.spec().Each.Accelerators * Of.TaskCount <=
                           guaranteeOf(View, Entry.Workspace);
-  Entry.ExpectedMs =
-      View.Durations.expectedMs(Owner.Submission.Queue, Of.spec().EstimatedMs);
   if (Of.spec().MaxPerWorker > 0) {
     const StepState &Step = Owner.Occurrences.at(Of.Occurrence).Steps[Of.Step];
     for (const Unit &Sibling : Step.Units)
