Do not count a recorded failure again after a take-over

The owner had recorded the failure and was lost before it acknowledged the end; the worker told it again, and the successor counted it again, since the number of the run that counts was not recorded. Change: a unit's record holds it. Test: 'a failure that was recorded is not counted again by a successor' (failed before).

--- a/include/pistachioflow/sched/records.hpp
+++ b/include/pistachioflow/sched/records.hpp
@@ -76,8 +76,9 @@
   std::int64_t Failures = 0;
   std::string Checkpoint;
   std::vector<PlaceRecord> Places; ///< Empty: surely runs nowhere.
+  std::int64_t FailedRun = 0;      ///< The newest run that counts as a failure.
 
-  MSGPACK_DEFINE(Run, Done, Failures, Checkpoint, Places)
+  MSGPACK_DEFINE(Run, Done, Failures, Checkpoint, Places, FailedRun)
 };
 
 struct OwnershipRecord {
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -86,7 +86,8 @@
 }
 
 UnitRecord recordOf(const Unit &Of) {
-  UnitRecord Record{Of.Run, Of.Done, Of.Failures, Of.Checkpoint, {}};
+  UnitRecord Record{Of.Run,        Of.Done, Of.Failures,
+                    Of.Checkpoint, {},      Of.FailedRun};
   const bool AnyLeft = std::ranges::any_of(Of.Members, [](const Member &Entry) {
     return Entry.Phase != MemberPhase::Gone;
   });
@@ -192,6 +193,7 @@
   this->RecordedUnits.insert(std::string(UnitName));
   Of->Run = Record.Run;
   Of->Failures = Record.Failures;
+  Of->FailedRun = Record.FailedRun;
   Of->Checkpoint = Record.Checkpoint;
   Of->PlacedAt = Now;
   if (Record.Done) {
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -147,6 +147,29 @@
   REQUIRE(Only->waiting() == Stopped);
 }
 
+TEST_CASE("a failure that was recorded is not counted again by a successor") {
+  Driver Of({makeStep(2, true)});
+  Of.startAll();
+  Of.Table.takeRecords();
+  Of.end("w0", Of.task(0, 0), 1, RunEnd::Failed);
+  const std::vector<JournalRecord> Records = Of.Table.takeRecords();
+  const auto Stored =
+      std::ranges::find(Records, unitKey(JobId + ".0.0"), &JournalRecord::Key);
+  REQUIRE(Stored != Records.end());
+  JobTable Successor;
+  Successor.addSubmission(JobId, makeSubmission({makeStep(2, true)}), Of.Now,
+                          1'000);
+  Successor.restoreUnit(JobId + ".0.0",
+                        *decodeRecord<UnitRecord>(Stored->Value), Of.Now);
+  Successor.unlock(Of.Now, 1'000);
+  // The end was not acknowledged, so its worker tells it again.
+  WorkerReport Report;
+  Report.BornWallMs = 1;
+  Report.Ended.push_back({1, Of.task(0, 0), 1, RunEnd::Failed, {}});
+  Successor.applyReport("w0", Report, Of.Now, Of.Now, 2'000);
+  REQUIRE_FALSE(hasEnded(Successor.find(JobId)->Phase));
+}
+
 TEST_CASE("work of an earlier owner that its worker does not show is over") {
   const auto Shown = GENERATE(true, false);
   JobTable Table;
