--- a/include/pistachioflow/net/http_client.hpp
+++ b/include/pistachioflow/net/http_client.hpp
@@ -31,7 +31,7 @@
 /// client must outlive its calls.
 class HttpClient {
 public:
-  HttpClient(asio::io_context &Io, asio::ip::tcp::endpoint Peer);
+  HttpClient(asio::io_context &Io, const asio::ip::tcp::endpoint &Peer);
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- a/include/pistachioflow/net/http_server.hpp
+++ b/include/pistachioflow/net/http_server.hpp
@@ -40,7 +40,7 @@
   HttpServer &operator=(const HttpServer &) = delete;
 
   /// Listens on \p Local. Returns false, with a log line, when it is taken.
-  bool listen(asio::ip::tcp::endpoint Local);
+  bool listen(const asio::ip::tcp::endpoint &Local);
 
   /// Applies to messages that begin later.
   void setLimits(HttpServerLimits Changed) { this->Limits = Changed; }
--- a/src/pistachioflow/net/http_client.cpp
+++ b/src/pistachioflow/net/http_client.cpp
@@ -37,7 +37,8 @@
   MessageParser Parser;
 };
 
-HttpClient::HttpClient(asio::io_context &Io, asio::ip::tcp::endpoint Peer)
+HttpClient::HttpClient(asio::io_context &Io,
+                       const asio::ip::tcp::endpoint &Peer)
     : Io(Io), Peer(Peer),
       PeerName(Peer.address().to_string() + ":" + std::to_string(Peer.port())) {
 }
--- a/src/pistachioflow/net/http_server.cpp
+++ b/src/pistachioflow/net/http_server.cpp
@@ -44,7 +44,7 @@
 
 HttpServer::~HttpServer() = default;
 
-bool HttpServer::listen(asio::ip::tcp::endpoint Local) {
+bool HttpServer::listen(const asio::ip::tcp::endpoint &Local) {
   asio::error_code Failure;
   this->Acceptor.open(Local.protocol(), Failure);
   if (!Failure)
