Place a broken gang again without waiting for its silent workers

Cause: when a worker with a gang member vanished, the other members told that the gang had broken, but the silent one kept its place for a whole lease (6.4 s, and another one after a take-over). Besides, the fourth entry of a running row was read as a pace; it is the progress of the run.

Change: a gang that had begun and lost a member is over on every worker; its record says so. Members on silent workers are gone then.

--- a/include/pistachioflow/platform_standin/task_park.hpp
+++ b/include/pistachioflow/platform_standin/task_park.hpp
@@ -100,6 +100,8 @@
   void end(Worker &At, const std::string &Task, RunEnd How);
   void breakGang(const std::string &Task, std::int64_t Run);
   void beginGang(const std::string &Task, std::int64_t Run, Instant Now);
+  /// Percent of its work that a run has done.
+  static std::int64_t progressOf(const Running &Of, Instant Now);
   bool hasRoom(const Worker &At, const Demand &Each) const;
   bool runsElsewhere(const std::string &Task) const;
   void violate(std::string Text);
--- a/include/pistachioflow/sched/records.hpp
+++ b/include/pistachioflow/sched/records.hpp
@@ -77,8 +77,11 @@
   std::string Checkpoint;
   std::vector<PlaceRecord> Places; ///< Empty: surely runs nowhere.
   std::int64_t FailedRun = 0;      ///< The newest run that counts as a failure.
+  /// The gang of the newest run was complete and has ended, so that members
+  /// that were not heard of have ended too.
+  bool RunOver = false;
 
-  MSGPACK_DEFINE(Run, Done, Failures, Checkpoint, Places, FailedRun)
+  MSGPACK_DEFINE(Run, Done, Failures, Checkpoint, Places, FailedRun, RunOver)
 };
 
 struct OwnershipRecord {
--- a/include/pistachioflow/sched/worker.hpp
+++ b/include/pistachioflow/sched/worker.hpp
@@ -26,7 +26,9 @@
   std::string Task;
   std::int64_t Run = 0;
   std::string Checkpoint;
-  std::int64_t SpeedPercent = 100;
+  /// How much of the task's work is done. Of work that lasts: 100 once it
+  /// serves.
+  std::int64_t ProgressPercent = 0;
   std::int64_t CpuMilli = -1; ///< Processor time in use; -1: not reported.
 };
 
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -636,6 +636,9 @@
     logEvent(LogLevel::Warning, "worker_silent",
              {{"worker", Worker->Id}, {"outcome", toString(Outcome)}});
   }
+  Of->Table.workerSilent(Worker->Id, Now);
+  if (Of->Table.dirty())
+    this->requestTurn();
   // Another worker answers at its address: this one is gone.
   const bool Replaced = Outcome == OrderOutcome::OtherLife;
   if (!Replaced && Now < Worker->LeaseEnds)
--- a/src/pistachioflow/platform_standin/platform_server.cpp
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -132,7 +132,7 @@
   Json Running = Json::array();
   for (const RunningTask &Task : Answer.Report.Running)
     Running.push_back(Json::array({Task.Task, Task.Run, Task.Checkpoint,
-                                   Task.SpeedPercent, Task.CpuMilli}));
+                                   Task.ProgressPercent, Task.CpuMilli}));
   Json Ended = Json::array();
   for (const EndedRun &End : Answer.Report.Ended)
     Ended.push_back(
--- a/src/pistachioflow/platform_standin/task_park.cpp
+++ b/src/pistachioflow/platform_standin/task_park.cpp
@@ -159,6 +159,14 @@
   return {OrderOutcome::Accepted, Now.Ms};
 }
 
+std::int64_t TaskPark::progressOf(const Running &Of, Instant Now) {
+  constexpr std::int64_t Whole = 100;
+  if (Of.EndsAt.Ms == 0 || Of.Script.WorkMs <= 0)
+    return 0; // The gang is not complete.
+  const std::int64_t LeftMs = std::max<std::int64_t>((Of.EndsAt - Now).Ms, 0);
+  return Whole - LeftMs * Whole / Of.Script.WorkMs;
+}
+
 HoldAnswer TaskPark::hold(const std::string &Id, const HoldOrder &Order,
                           Instant Now) {
   Worker &At = this->Workers.at(Id);
@@ -181,7 +189,8 @@
   Answer.Report.ClockMs = Now.Ms;
   Answer.Report.BornWallMs = At.BornWallMs;
   for (const auto &[Task, Entry] : At.Tasks)
-    Answer.Report.Running.push_back({Task, Entry.Run, {}, 100, 1'000});
+    Answer.Report.Running.push_back(
+        {Task, Entry.Run, {}, progressOf(Entry, Now), 1'000});
   Answer.Report.Ended = At.Ends;
   return Answer;
 }
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -85,9 +85,15 @@
          std::ranges::any_of(Report.Ended, Same);
 }
 
+bool allRunning(const Unit &Of) {
+  return std::ranges::all_of(Of.Members, [](const Member &Entry) {
+    return Entry.Phase == MemberPhase::Running;
+  });
+}
+
 UnitRecord recordOf(const Unit &Of) {
-  UnitRecord Record{Of.Run,        Of.Done, Of.Failures,
-                    Of.Checkpoint, {},      Of.FailedRun};
+  UnitRecord Record{Of.Run, Of.Done,      Of.Failures, Of.Checkpoint,
+                    {},     Of.FailedRun, Of.RunOver};
   const bool AnyLeft = std::ranges::any_of(Of.Members, [](const Member &Entry) {
     return Entry.Phase != MemberPhase::Gone;
   });
@@ -194,6 +200,7 @@
   Of->Run = Record.Run;
   Of->Failures = Record.Failures;
   Of->FailedRun = Record.FailedRun;
+  Of->RunOver = Record.RunOver;
   Of->Checkpoint = Record.Checkpoint;
   Of->PlacedAt = Now;
   if (Record.Done) {
@@ -296,6 +303,8 @@
 void JobTable::place(Unit &Of, std::span<const PlaceRecord> Places,
                      Instant Now) {
   ++Of.Run;
+  Of.Begun = false;
+  Of.RunOver = false;
   Of.PlacedAt = Now;
   Of.Members.clear();
   for (const PlaceRecord &Place : Places)
@@ -364,6 +373,7 @@
   const Duration Took = Now - Entry.Since;
   Entry.Phase = MemberPhase::Running;
   Entry.Since = Now;
+  Place.Of->Begun = Place.Of->Begun || allRunning(*Place.Of);
   this->note(TableEvent::Kind::Confirmed, std::string(Task), Entry.Worker, Run,
              {}, Took.Ms);
   Job &Owner = *Place.Of->Owner;
@@ -404,6 +414,7 @@
     return;
   Entry.Phase = MemberPhase::Gone;
   Entry.Since = Now;
+  Of.RunOver = Of.RunOver || (Of.isGang() && Of.Begun);
   auto &List = this->OnWorker[Entry.Worker];
   std::erase_if(List, [&Of, Index](const MemberRef &Ref) {
     return Ref.Of == &Of && Ref.Index == Index;
@@ -484,12 +495,11 @@
 void JobTable::watchProgress(Unit &Of, std::size_t Index,
                              const RunningTask &Task, Instant Now) {
   Member &Entry = Of.Members[Index];
-  const bool AllPresent = std::ranges::all_of(Of.Members, [](const Member &At) {
-    return At.Phase == MemberPhase::Running;
-  });
+  // Work on a gang begins once all of its members are there.
+  Of.Begun = Of.Begun || Task.ProgressPercent > 0;
   const bool Idle = Task.CpuMilli == 0 && Of.spec().Each.MilliCores > 0 &&
-                    !Of.spec().FillsIdleCpu && Task.SpeedPercent > 0;
-  if (!Idle || !AllPresent || Of.Done) {
+                    !Of.spec().FillsIdleCpu;
+  if (!Idle || !allRunning(Of) || Of.Done) {
     Entry.IdleSince = {};
     return;
   }
@@ -617,6 +627,21 @@
   }
 }
 
+void JobTable::workerSilent(std::string_view Worker, Instant Now) {
+  const auto Listed = this->OnWorker.find(std::string(Worker));
+  if (Listed == this->OnWorker.end())
+    return;
+  const std::vector<MemberRef> Members = Listed->second;
+  for (const MemberRef &Ref : Members) {
+    if (Ref.Index >= Ref.Of->Members.size() || !Ref.Of->RunOver)
+      continue;
+    this->note(TableEvent::Kind::Vanished, Ref.Of->taskName(Ref.Index),
+               std::string(Worker), Ref.Of->Run, "gang_ended");
+    this->memberGone(*Ref.Of, Ref.Index, Now);
+    this->settle(*Ref.Of, Now);
+  }
+}
+
 void JobTable::workerLost(std::string_view Worker, Instant Now,
                           std::string_view Reason) {
   const auto Listed = this->OnWorker.find(std::string(Worker));
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -133,6 +133,45 @@
   REQUIRE(Of.startAll() == 1);
 }
 
+TEST_CASE("members of an ended gang do not wait for a silent worker's lease") {
+  // A worker is lost together with its links while gangs run: the others of a
+  // gang tell that it broke, the silent one tells nothing for a whole lease.
+  struct Row {
+    const char *Why;
+    bool AllPresent; ///< Every member was confirmed before the first ended.
+    bool Successor;  ///< A new owner learns of it from the records.
+    std::size_t Waiting;
+  };
+  const auto Case = GENERATE(Row{"begun, then broken", true, false, 1},
+                             Row{"known from records", true, true, 1},
+                             Row{"an order may be late", false, false, 0});
+  CAPTURE(Case.Why);
+  Driver Of({makeStep(2, true)});
+  Unit *Gang = Of.Table.placeable(Of.Now).front();
+  Of.Table.place(*Gang, std::vector<PlaceRecord>{{"w0", 1}, {"w1", 1}}, Of.Now);
+  const std::size_t Confirmed = Case.AllPresent ? 2 : 1;
+  for (std::size_t Index = 0; Index < 2; ++Index)
+    Of.Table.markSent({Gang, Index}, 1, Of.Now);
+  for (std::size_t Index = 0; Index < Confirmed; ++Index)
+    Of.Table.confirm(Gang->taskName(Index), 1, Of.Now);
+  Of.end("w0", Of.task(0, 0), 1, RunEnd::Broken);
+  const Instant Later = Of.Now + Duration{1'000};
+  if (!Case.Successor) {
+    Of.Table.workerSilent("w1", Later);
+    REQUIRE(Of.Table.placeable(Later).size() == Case.Waiting);
+    return;
+  }
+  Driver Next({makeStep(2, true)});
+  for (const JournalRecord &Record : Of.Table.takeRecords())
+    if (Record.Key == unitKey(Gang->name()))
+      Next.Table.restoreUnit(Gang->name(),
+                             *decodeRecord<UnitRecord>(Record.Value), Later);
+  REQUIRE(Next.Table.placeable(Later).empty());
+  Next.Table.workerSilent("w0", Later);
+  Next.Table.workerSilent("w1", Later);
+  REQUIRE(Next.Table.placeable(Later).size() == Case.Waiting);
+}
+
 TEST_CASE("a start without an answer keeps its place until a stop is accepted "
           "and a later look does not show it") {
   const auto Stopped = GENERATE(false, true);
