Let instances with more processor own the queues; read on demand

Change: claims are delayed by the inverse of the share of a core; a living owner with less than half of the processor is relieved after 5 s. Heartbeats every 300 ms and silence after 1.2 s, in place of 500 and 1,500. Followers read every 300 ms, and at once when a caller asks about a job that goes on.

--- a/include/pistachioflow/entry/ownership.hpp
+++ b/include/pistachioflow/entry/ownership.hpp
@@ -19,11 +19,18 @@
 /// When an instance claims ownership, and when an owner shows itself.
 struct OwnershipTimes {
   /// Owners write at least this often, so that silence means something.
-  Duration Heartbeat{500};
-  /// Three lost heartbeats; leases of running work last several times longer.
-  Duration Silence{1'500};
-  /// Spread of the claims of several instances.
-  Duration ClaimSpread{150};
+  Duration Heartbeat{300};
+  /// Three lost heartbeats and a slow read; leases of running work last several
+  /// times longer.
+  Duration Silence{1'200};
+  /// Spread of the claims of instances that are alike.
+  Duration ClaimSpread{60};
+  /// Instances with less processor claim later: by this, times the inverse of
+  /// their share of a core.
+  Duration ClaimDelayOfACore{25};
+  /// An instance takes over from a living owner with less than half of its
+  /// processor once it has followed the journal for this long.
+  Duration SteadyBeforeRelief{5'000};
 };
 
 /// What the journal says about ownership, as this instance sees it.
@@ -33,8 +40,12 @@
   Instant HealthySince;  ///< Since when the journal is read without a gap.
   bool Readable = false; ///< The journal is read up to its end.
   bool Leaving = false;  ///< This instance is shutting down.
+  std::int64_t MilliCores = 1'000; ///< Of this instance.
 };
 
+/// How much later than the quickest an instance with this processor claims.
+Duration claimDelay(const OwnershipTimes &Times, std::int64_t MilliCores);
+
 /// Returns whether an instance that is not the owner should claim at \p Now.
 /// \p Spread delays the claim, so that instances do not all claim at once.
 /// Thread safety: pure.
@@ -59,8 +70,10 @@
     std::function<bool()> Readable;
   };
 
+  /// \p MilliCores is this instance's share of processors.
   Ownership(asio::io_context &Io, StoreClient &Store, const Clock &Time,
-            std::string Instance, std::size_t CallBytes, Observer Watcher);
+            std::string Instance, std::int64_t MilliCores,
+            std::size_t CallBytes, Observer Watcher);
 
   /// Runs until the io_context stops. Start it once, with co_spawn.
   asio::awaitable<void> run();
--- a/include/pistachioflow/entry/topic_follower.hpp
+++ b/include/pistachioflow/entry/topic_follower.hpp
@@ -56,6 +56,11 @@
   /// was acknowledged before the call is known.
   asio::awaitable<bool> refresh(Duration Longest);
 
+  /// Ends a pause between two reads and waits until its read was applied, or up
+  /// to \p Longest. Returns at once while a read waits for news: then nothing
+  /// is known to be newer.
+  asio::awaitable<void> catchUp(Duration Longest);
+
 private:
   asio::awaitable<bool> load();
   asio::awaitable<void> readOnce();
@@ -69,6 +74,9 @@
   TopicObserver Observer;
   Duration Pace;
   Signal Applied;
+  Signal Awaken;
+  bool Pausing = false;
+  bool Hurry = false; ///< The next read returns at once, also without news.
   std::int64_t Next = 0;
   std::int64_t LoadedUpTo = 0; ///< Records before it may be out of order.
   Instant LastContact;
--- a/include/pistachioflow/platform/instance_settings.hpp
+++ b/include/pistachioflow/platform/instance_settings.hpp
@@ -17,7 +17,8 @@
   std::string ReadyAddress;   ///< The balancer's readiness checks arrive here.
   std::string MetricsAddress; ///< IP of the instance with the first inner port.
   std::string StoreAddress;
-  std::string AdviceAddress; ///< Empty where no queue needs advice.
+  std::int64_t MilliCores = 1'000; ///< Its share of processors.
+  std::string AdviceAddress;       ///< Empty where no queue needs advice.
   Duration WorkerHeartbeat{1'500};
   Duration MaxLease{6'000};      ///< Longest lease that a worker grants.
   Duration StopTimeout{900};     ///< A worker ends a stopped run within this.
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -51,9 +51,9 @@
   std::int64_t FailedRun = 0; ///< The newest run that failed.
   /// Every member of the newest run was present at once.
   bool Begun = false;
-  /// A gang that had begun has lost a member: the workers of the others end
-  /// theirs as well, whether or not they can say so.
-  bool RunOver = false;
+  /// When a gang that had begun lost a member; 0: it has not. The workers of
+  /// the others end theirs as well, whether or not they can say so.
+  Instant OverSince;
   bool Done = false;
   std::string Checkpoint;
   std::vector<Member> Members; ///< Empty: waits for a place.
@@ -189,9 +189,9 @@
   void workerReborn(std::string_view Worker, const WorkerReport &Report,
                     Instant Now);
 
-  /// The worker does not answer. Members there of gangs whose run is over have
-  /// ended, though nobody can say so.
-  void workerSilent(std::string_view Worker, Instant Now);
+  /// The worker does not answer. Members there of gangs whose run was over
+  /// before \p OverBefore have ended, though nobody can say so.
+  void workerSilent(std::string_view Worker, Instant OverBefore, Instant Now);
 
   /// Every lease on the worker has surely ended.
   void workerLost(std::string_view Worker, Instant Now,
--- a/include/pistachioflow/sched/records.hpp
+++ b/include/pistachioflow/sched/records.hpp
@@ -89,8 +89,9 @@
   std::string Instance;
   std::int64_t Heartbeat = 0; ///< Counts the owner's heartbeats.
   bool Resigned = false;
+  std::int64_t MilliCores = 0; ///< The owner's share of processors.
 
-  MSGPACK_DEFINE(Epoch, Instance, Heartbeat, Resigned)
+  MSGPACK_DEFINE(Epoch, Instance, Heartbeat, Resigned, MilliCores)
 };
 
 std::string submissionKey(std::string_view JobId);
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -13,6 +13,8 @@
 
 /// An answer about an unknown job waits this long for news of the journal.
 constexpr Duration NewsWait{400};
+/// An answer about a job that goes on waits this long for the newest records.
+constexpr Duration FreshnessWait{150};
 /// Reads or writes of the journal fail for this long before new work is turned
 /// away at once.
 constexpr Duration FailingLimit{300};
@@ -150,6 +152,10 @@
 
 asio::awaitable<HttpResponse> CallerApi::state(Call Of) {
   const JobBoard::Entry *Known = this->Board.find(Of.JobId);
+  if (Known && !hasEnded(shownPhase(*Known))) {
+    co_await this->Journal.catchUp(FreshnessWait);
+    Known = this->Board.find(Of.JobId);
+  }
   if (!Known) {
     const bool Fresh = co_await this->Journal.refresh(NewsWait);
     Known = this->Board.find(Of.JobId);
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -32,6 +32,8 @@
 constexpr Duration LeaseMargin{300};
 /// A clock further behind than drift and delays explain belongs to a new life.
 constexpr Duration ClockTolerance{2'000};
+/// Workers hear of a gang's end from each other, within a few milliseconds.
+constexpr Duration GangEndMargin{500};
 constexpr Duration HoldRetryPause{150};
 constexpr Duration PauseAfterRefusal{100};
 constexpr Duration DoubtAfterRefusal{500};
@@ -636,7 +638,9 @@
     logEvent(LogLevel::Warning, "worker_silent",
              {{"worker", Worker->Id}, {"outcome", toString(Outcome)}});
   }
-  Of->Table.workerSilent(Worker->Id, Now);
+  // Members of a broken gang take as long to end as stopped ones.
+  Of->Table.workerSilent(Worker->Id,
+                         Now - this->Settings.StopTimeout - GangEndMargin, Now);
   if (Of->Table.dirty())
     this->requestTurn();
   // Another worker answers at its address: this one is gone.
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -16,9 +16,9 @@
 
 namespace {
 
-/// Followers read the journal this often at most: answers about jobs are at
-/// most this much older than the owner's.
-constexpr Duration FollowerPace{120};
+/// Followers read the journal this often, and whenever a caller asks about a
+/// job that has not ended. An owner's silence is noticed this much later.
+constexpr Duration FollowerPace{300};
 /// The journal must have been heard of within this to be called up to date: a
 /// read's longest wait and a slow answer.
 constexpr Duration FreshLimit{2'000};
@@ -89,7 +89,7 @@
           static_cast<std::size_t>(this->Settings.StoreCallBytes))),
       Orders(Io, Store, Time, this->Settings, this->Desired,
              [this](std::string_view Reason) { this->Owning.lose(Reason); }),
-      Owning(Io, Store, Time, this->Name,
+      Owning(Io, Store, Time, this->Name, this->Settings.MilliCores,
              static_cast<std::size_t>(this->Settings.StoreCallBytes),
              {[this](std::int64_t Epoch) {
                 this->Orders.begin(Epoch, this->Owning.writer());
--- a/src/pistachioflow/entry/ownership.cpp
+++ b/src/pistachioflow/entry/ownership.cpp
@@ -25,22 +25,37 @@
 
 } // namespace
 
+Duration claimDelay(const OwnershipTimes &Times, std::int64_t MilliCores) {
+  constexpr std::int64_t MilliPerCore = 1'000;
+  return {Times.ClaimDelayOfACore.Ms * MilliPerCore /
+          std::max<std::int64_t>(MilliCores, 1)};
+}
+
 bool shouldClaim(const OwnershipView &View, const OwnershipTimes &Times,
                  Duration Spread, Instant Now) {
   if (View.Leaving || !View.Readable)
     return false;
   const bool Vacant = View.Newest.Epoch == 0 || View.Newest.Resigned;
   const Instant QuietSince = std::max(View.HeardAt, View.HealthySince);
-  const Duration Limit = Vacant ? Spread : Times.Silence + Spread;
-  return Now - QuietSince >= Limit;
+  const Duration Delay = claimDelay(Times, View.MilliCores) + Spread;
+  const Duration Limit = Vacant ? Delay : Times.Silence + Delay;
+  if (Now - QuietSince >= Limit)
+    return true;
+  const bool OwnerIsWeak = View.Newest.MilliCores > 0 &&
+                           View.Newest.MilliCores * 2 < View.MilliCores;
+  return OwnerIsWeak &&
+         Now - View.HealthySince >= Times.SteadyBeforeRelief + Delay;
 }
 
 Ownership::Ownership(asio::io_context &Io, StoreClient &Store,
                      const Clock &Time, std::string Instance,
-                     std::size_t CallBytes, Observer Watcher)
+                     std::int64_t MilliCores, std::size_t CallBytes,
+                     Observer Watcher)
     : Io(Io), Store(Store), Time(Time), Instance(std::move(Instance)),
       CallBytes(CallBytes), Watcher(std::move(Watcher)),
-      Random(std::hash<std::string>{}(this->Instance)) {}
+      Random(std::hash<std::string>{}(this->Instance)) {
+  this->View.MilliCores = MilliCores;
+}
 
 asio::awaitable<void> Ownership::run() {
   const auto Range = static_cast<std::uint64_t>(this->Times.ClaimSpread.Ms);
@@ -67,7 +82,7 @@
   this->Beating = true;
   const std::shared_ptr<JournalWriter> Held = this->Writer;
   const OwnershipRecord Record{this->View.Newest.Epoch, this->Instance,
-                               ++this->Beats, false};
+                               ++this->Beats, false, this->View.MilliCores};
   std::vector<JournalRecord> Records;
   Records.push_back({ownershipKey(), encodeRecord(Record)});
   const WriteOutcome Outcome =
@@ -82,7 +97,8 @@
   this->ClaimedEpoch = this->View.Newest.Epoch + 1;
   this->ClaimSequence = static_cast<std::int64_t>(
       this->Random() % static_cast<std::uint64_t>(SequenceRange));
-  const OwnershipRecord Record{this->ClaimedEpoch, this->Instance, 0, false};
+  const OwnershipRecord Record{this->ClaimedEpoch, this->Instance, 0, false,
+                               this->View.MilliCores};
   std::vector<JournalRecord> Records;
   Records.push_back({ownershipKey(), encodeRecord(Record)});
   std::string Topic(JournalTopic);
@@ -136,7 +152,7 @@
     co_return;
   const std::shared_ptr<JournalWriter> Held = this->Writer;
   const OwnershipRecord Record{this->View.Newest.Epoch, this->Instance,
-                               ++this->Beats, true};
+                               ++this->Beats, true, this->View.MilliCores};
   this->lose("leaving");
   std::vector<JournalRecord> Records;
   Records.push_back({ownershipKey(), encodeRecord(Record)});
--- a/src/pistachioflow/entry/topic_follower.cpp
+++ b/src/pistachioflow/entry/topic_follower.cpp
@@ -24,7 +24,7 @@
                              const Clock &Time, std::string Topic,
                              TopicObserver Observer, Duration Pace)
     : Io(Io), Store(Store), Time(Time), Topic(std::move(Topic)),
-      Observer(std::move(Observer)), Pace(Pace), Applied(Io) {}
+      Observer(std::move(Observer)), Pace(Pace), Applied(Io), Awaken(Io) {}
 
 void TopicFollower::stop() { this->Stopped = true; }
 
@@ -45,6 +45,7 @@
     const Duration Left = Longest - (this->Time.monotonic() - Asked);
     if (Left.Ms <= 0)
       co_return false;
+    this->Awaken.notify();
     co_await this->Applied.wait(Left);
   }
   co_return true;
@@ -57,11 +58,22 @@
       Loaded = co_await this->load();
     if (Loaded)
       co_await this->readOnce();
-    if (!this->Stopped && this->Pace.Ms > 0)
-      co_await pauseFor(this->Io, this->Pace);
+    if (this->Stopped || this->Pace.Ms <= 0)
+      continue;
+    this->Pausing = true;
+    co_await this->Awaken.wait(this->Pace);
+    this->Pausing = false;
   }
 }
 
+asio::awaitable<void> TopicFollower::catchUp(Duration Longest) {
+  if (!this->Pausing && !this->Hurry)
+    co_return;
+  this->Hurry = true;
+  this->Awaken.notify();
+  co_await this->Applied.wait(Longest);
+}
+
 asio::awaitable<bool> TopicFollower::load() {
   std::vector<JournalRecord> Records;
   std::string After;
@@ -103,9 +115,11 @@
 
 asio::awaitable<void> TopicFollower::readOnce() {
   const bool Behind = this->Next < this->LoadedUpTo;
-  const Duration Wait = Behind ? Duration{0} : ReadWait;
+  const bool AtOnce = Behind || this->Hurry;
+  const Duration Wait = AtOnce ? Duration{0} : ReadWait;
   const ReadAnswer Answer = co_await this->Store.read(this->Topic, this->Next,
                                                       Wait, Wait + ReadSlack);
+  this->Hurry = false;
   entryMetrics().Reads.add();
   if (!this->Loaded || this->Stopped)
     co_return;
--- a/src/pistachioflow/platform/instance_settings.cpp
+++ b/src/pistachioflow/platform/instance_settings.cpp
@@ -25,6 +25,14 @@
   return {static_cast<std::int64_t>(Seconds * MsPerSecond)};
 }
 
+void readLimits(ObjectReader In, InstanceSettings &Read) {
+  constexpr double MaxCores = 1'024;
+  const double Share = In.number("cpu_share", 0.001, MaxCores, 1.0);
+  const double Cores = In.number("cores", 0.001, MaxCores, 1.0);
+  constexpr double MilliPerCore = 1'000;
+  Read.MilliCores = static_cast<std::int64_t>(Share * Cores * MilliPerCore);
+}
+
 void readBounds(ObjectReader In, InstanceSettings &Read) {
   Read.MaxLease = readMs(In, "max_hold_ms", Read.MaxLease);
   Read.StopTimeout = readMs(In, "stop_timeout_ms", Read.StopTimeout);
@@ -72,6 +80,8 @@
   Read.StoreCallBytes =
       Store.integer("request_bytes", SizeBytes, Read.StoreCallBytes);
   readBounds(In.object("bounds"), Read);
+  if (In.has("limits"))
+    readLimits(In.object("limits"), Read);
   if (!Found.empty())
     return Error{ErrorCode::InvalidInput, "invalid settings", Found};
   return Read;
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -92,8 +92,8 @@
 }
 
 UnitRecord recordOf(const Unit &Of) {
-  UnitRecord Record{Of.Run, Of.Done,      Of.Failures, Of.Checkpoint,
-                    {},     Of.FailedRun, Of.RunOver};
+  UnitRecord Record{Of.Run, Of.Done,      Of.Failures,         Of.Checkpoint,
+                    {},     Of.FailedRun, Of.OverSince.Ms != 0};
   const bool AnyLeft = std::ranges::any_of(Of.Members, [](const Member &Entry) {
     return Entry.Phase != MemberPhase::Gone;
   });
@@ -200,7 +200,8 @@
   Of->Run = Record.Run;
   Of->Failures = Record.Failures;
   Of->FailedRun = Record.FailedRun;
-  Of->RunOver = Record.RunOver;
+  if (Record.RunOver)
+    Of->OverSince = Now;
   Of->Checkpoint = Record.Checkpoint;
   Of->PlacedAt = Now;
   if (Record.Done) {
@@ -304,7 +305,7 @@
                      Instant Now) {
   ++Of.Run;
   Of.Begun = false;
-  Of.RunOver = false;
+  Of.OverSince = {};
   Of.PlacedAt = Now;
   Of.Members.clear();
   for (const PlaceRecord &Place : Places)
@@ -414,7 +415,8 @@
     return;
   Entry.Phase = MemberPhase::Gone;
   Entry.Since = Now;
-  Of.RunOver = Of.RunOver || (Of.isGang() && Of.Begun);
+  if (Of.isGang() && Of.Begun && Of.OverSince.Ms == 0)
+    Of.OverSince = Now;
   auto &List = this->OnWorker[Entry.Worker];
   std::erase_if(List, [&Of, Index](const MemberRef &Ref) {
     return Ref.Of == &Of && Ref.Index == Index;
@@ -627,13 +629,17 @@
   }
 }
 
-void JobTable::workerSilent(std::string_view Worker, Instant Now) {
+void JobTable::workerSilent(std::string_view Worker, Instant OverBefore,
+                            Instant Now) {
   const auto Listed = this->OnWorker.find(std::string(Worker));
   if (Listed == this->OnWorker.end())
     return;
   const std::vector<MemberRef> Members = Listed->second;
   for (const MemberRef &Ref : Members) {
-    if (Ref.Index >= Ref.Of->Members.size() || !Ref.Of->RunOver)
+    if (Ref.Index >= Ref.Of->Members.size())
+      continue;
+    const Instant OverSince = Ref.Of->OverSince;
+    if (OverSince.Ms == 0 || OverSince >= OverBefore)
       continue;
     this->note(TableEvent::Kind::Vanished, Ref.Of->taskName(Ref.Index),
                std::string(Worker), Ref.Of->Run, "gang_ended");
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -157,7 +157,9 @@
   Of.end("w0", Of.task(0, 0), 1, RunEnd::Broken);
   const Instant Later = Of.Now + Duration{1'000};
   if (!Case.Successor) {
-    Of.Table.workerSilent("w1", Later);
+    Of.Table.workerSilent("w1", Of.Now, Later);
+    REQUIRE(Of.Table.placeable(Later).empty()); // It may still be ending.
+    Of.Table.workerSilent("w1", Later, Later);
     REQUIRE(Of.Table.placeable(Later).size() == Case.Waiting);
     return;
   }
@@ -167,8 +169,8 @@
       Next.Table.restoreUnit(Gang->name(),
                              *decodeRecord<UnitRecord>(Record.Value), Later);
   REQUIRE(Next.Table.placeable(Later).empty());
-  Next.Table.workerSilent("w0", Later);
-  Next.Table.workerSilent("w1", Later);
+  for (const char *Worker : {"w0", "w1"})
+    Next.Table.workerSilent(Worker, Later + Duration{1}, Later);
   REQUIRE(Next.Table.placeable(Later).size() == Case.Waiting);
 }
 
