Move refused members of a gang in place of stopping the others

Change: a refused member takes another worker within the same run, recorded first, for 1 s after the placement; only without such a worker is the gang stopped. Orders are repeated after 400 ms without an answer, not 700.

--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -63,6 +63,7 @@
   void place(Tenure &Of);
   void sendStops(const Held &Of);
   void moveFromDraining(Tenure &Of);
+  void moveRefused(Tenure &Of);
   void logEvents(Tenure &Of);
   void ensureHolding(const Held &Of, const Link &Worker);
   asio::awaitable<void> tick(Held Of);
--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -65,6 +65,21 @@
   std::size_t Waiting = 0;
 };
 
+/// Where members of gangs go that their workers refused.
+struct MovePlan {
+  struct Move {
+    MemberRef Ref;
+    PlaceRecord Place;
+  };
+  std::vector<Move> Moves;
+  std::vector<Unit *> GivenUp; ///< No worker is left for one of the members.
+};
+
+/// Finds other workers for refused members, so that the members of their gangs
+/// that have started need not stop. Answers bursts of gangs while some workers
+/// shed load. Changes nothing. Thread safety: none.
+MovePlan planMoves(const PlanningView &View);
+
 /// Ranks what waits, and places it. Changes nothing. Thread safety: none.
 PlanningResult planRound(const PlanningView &View);
 
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -23,6 +23,7 @@
   Sent,     ///< Ordered; the worker has not confirmed it.
   Adopted,  ///< Ordered by an earlier owner; its worker has not been heard.
   Running,  ///< Confirmed by its worker.
+  Refused,  ///< Its worker declined and did nothing; another may take it.
   Gone,     ///< Surely runs nowhere and never will.
 };
 
@@ -35,6 +36,12 @@
   Instant Since;     ///< When the phase was entered.
   Instant StopAcked; ///< When the worker accepted a stop; 0: it has not.
   Instant IdleSince; ///< Since when it uses no processor; 0: it does.
+
+  /// Whether it takes, or may take, room on its worker.
+  bool occupies() const {
+    return this->Phase != MemberPhase::Gone &&
+           this->Phase != MemberPhase::Refused;
+  }
 };
 
 struct Job;
@@ -170,10 +177,15 @@
   /// The worker accepted the start.
   void confirm(std::string_view Task, std::int64_t Run, Instant Now);
 
-  /// The start surely was not and will not be carried out.
+  /// The start surely was not and will not be carried out. A gang's member may
+  /// go to another worker by move(); anything else waits for a place again.
   void refuse(std::string_view Task, std::int64_t Run, Instant Now,
               Duration Pause, std::string_view Reason);
 
+  /// Gives a refused member of a gang another worker, within the same run.
+  /// Precondition: the member's phase is Refused.
+  void move(const MemberRef &Ref, const PlaceRecord &Place, Instant Now);
+
   /// The worker accepted a stop of the run.
   void stopAccepted(std::string_view Task, std::int64_t Run, Instant Now);
 
@@ -228,6 +240,7 @@
   void openOccurrence(Job &Owner, std::int64_t Number);
   void unlockSteps(Job &Owner, Occurrence &Of, Instant Now);
   void memberGone(Unit &Of, std::size_t Index, Instant Now);
+  void leaveWorker(Unit &Of, std::size_t Index);
   void watchProgress(Unit &Of, std::size_t Index, const RunningTask &Task,
                      Instant Now);
   void applyEnd(Unit &Of, std::size_t Index, const EndedRun &End, Instant Now,
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -63,6 +64,13 @@
   std::vector<std::size_t> Blocked;   ///< Indices of waiting units.
 };
 
+/// Chooses another worker for one task of a gang that its first worker refused.
+/// \p OtherRacks are the racks of the gang's other tasks. Doubted workers are
+/// left out: a second refusal would cost the gang more time than a new place.
+std::optional<std::size_t>
+planReplacement(std::span<WorkerRoom> Rooms, const WaitingUnit &Gang,
+                std::span<const std::string> OtherRacks);
+
 /// Decides which of \p Waiting, in their order, start where, and which of
 /// \p Placed give way.
 ///
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -21,7 +21,7 @@
 constexpr Duration HoldWait{1'500};
 constexpr Duration HoldSlack{1'000};
 /// Orders are answered within a few milliseconds.
-constexpr Duration OrderTimeout{700};
+constexpr Duration OrderTimeout{400};
 constexpr Duration OrderRetryPause{50};
 constexpr int StartAttempts = 3;
 /// A start is followed by a hold, which renews its lease, well within this.
@@ -298,6 +298,7 @@
   const Held Of = this->Current;
   Of->Table.unlock(this->Time.monotonic(), this->Time.wall().Ms);
   this->moveFromDraining(*Of);
+  this->moveRefused(*Of);
   this->place(*Of);
   this->sendStops(Of);
   this->logEvents(*Of);
@@ -318,6 +319,16 @@
     Of.Table.preempt(*Victim, Now);
 }
 
+void Dispatcher::moveRefused(Tenure &Of) {
+  const Instant Now = this->Time.monotonic();
+  const MovePlan Plan =
+      planMoves({Of.Table, Of.Workers, this->Desired, this->Durations, Now});
+  for (const MovePlan::Move &Move : Plan.Moves)
+    Of.Table.move(Move.Ref, Move.Place, Now);
+  for (Unit *Gang : Plan.GivenUp)
+    Of.Table.preempt(*Gang, Now);
+}
+
 /// Ends runs that would not end before their worker leaves, so that they go on
 /// elsewhere sooner.
 void Dispatcher::moveFromDraining(Tenure &Of) {
@@ -382,16 +393,14 @@
   Of->Flushing = true;
   std::vector<JournalRecord> Records = Of->Table.takeRecords();
   struct Starting {
-    Unit *Of;
+    MemberRef Ref;
     std::int64_t Run;
   };
   std::vector<Starting> Starts;
   for (Unit *Entry : Of->Table.active())
-    for (const Member &At : Entry->Members)
-      if (At.Phase == MemberPhase::Recorded) {
-        Starts.push_back({Entry, Entry->Run});
-        break;
-      }
+    for (std::size_t Index = 0; Index < Entry->Members.size(); ++Index)
+      if (Entry->Members[Index].Phase == MemberPhase::Recorded)
+        Starts.push_back({{Entry, Index}, Entry->Run});
   std::vector<std::pair<Link, std::int64_t>> Ends;
   for (auto &[Id, Worker] : Of->Workers)
     if (Worker->EndsSeen > Worker->EndsRecorded)
@@ -411,14 +420,9 @@
     Worker->Wake.notify();
     this->ensureHolding(Of, Worker);
   }
-  for (const Starting &Entry : Starts) {
-    if (Entry.Of->Run != Entry.Run)
-      continue;
-    for (std::size_t Index = 0; Index < Entry.Of->Members.size(); ++Index)
-      if (Entry.Of->Members[Index].Phase == MemberPhase::Recorded)
-        spawnTask(this->Io, "start_member",
-                  this->startMember(Of, Entry.Of, Index, Entry.Run));
-  }
+  for (const Starting &Entry : Starts)
+    spawnTask(this->Io, "start_member",
+              this->startMember(Of, Entry.Ref.Of, Entry.Ref.Index, Entry.Run));
   if (Of->Table.dirty())
     this->requestTurn();
 }
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -14,6 +14,8 @@
 /// Weight of an accelerator in lost work, in cores, as operators price it.
 constexpr std::int64_t CoresPerAccelerator = 8;
 constexpr double MilliPerUnit = 1'000.0;
+/// The members that are there wait for the others for a few seconds only.
+constexpr Duration MoveWithin{1'000};
 
 using AcceleratorUse = std::map<std::string, std::int64_t>;
 
@@ -118,7 +120,7 @@
     Entry.LostWork = lostWork(*Of, View.Now);
     Entry.Stopping = Of->Done || hasEnded(Of->Owner->Phase);
     for (const Member &At : Of->Members) {
-      if (At.Phase == MemberPhase::Gone)
+      if (!At.occupies())
         continue;
       Entry.Stopping = Entry.Stopping || At.StopWanted;
       const auto Room = IndexOf.find(At.Worker);
@@ -152,7 +154,7 @@
     const StepState &Step = Owner.Occurrences.at(Of.Occurrence).Steps[Of.Step];
     for (const Unit &Sibling : Step.Units)
       for (const Member &At : Sibling.Members)
-        if (At.Phase != MemberPhase::Gone)
+        if (At.occupies())
           Entry.GroupOn.push_back(At.Worker);
   }
   return Entry;
@@ -225,6 +227,36 @@
   return Queue ? Queue->Terms : Of.Submission.Terms;
 }
 
+MovePlan planMoves(const PlanningView &View) {
+  MovePlan Plan;
+  std::vector<WorkerRoom> Rooms;
+  for (Unit *Of : View.Table.active())
+    for (std::size_t Index = 0; Index < Of->Members.size(); ++Index) {
+      if (Of->Members[Index].Phase != MemberPhase::Refused)
+        continue;
+      if (Rooms.empty())
+        Rooms = collectRooms(View);
+      const WaitingUnit Gang = describe(View, *Of, guaranteedUse(View));
+      std::vector<std::string> Racks;
+      for (const Member &Other : Of->Members)
+        if (const auto Link = View.Workers.find(Other.Worker);
+            Other.occupies() && Link != View.Workers.end())
+          Racks.push_back(rackOf(Link->second->Entry));
+      const bool InTime = View.Now - Of->PlacedAt <= MoveWithin;
+      const auto Room =
+          InTime ? planReplacement(Rooms, Gang, Racks) : std::nullopt;
+      if (!Room) {
+        Plan.GivenUp.push_back(Of);
+        break;
+      }
+      WorkerRoom &Taken = Rooms[*Room];
+      Taken.Free = Taken.Free - Of->spec().Each;
+      Plan.Moves.push_back(
+          {{Of, Index}, {Taken.Id, View.Workers.at(Taken.Id)->BornWallMs}});
+    }
+  return Plan;
+}
+
 PlanningResult planRound(const PlanningView &View) {
   PlanningResult Result;
   const std::vector<Unit *> Units = rankedWaiting(View);
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -343,10 +343,12 @@
   }
   if (Changed)
     this->note(TableEvent::Kind::StopWanted, Of.name(), {}, Of.Run);
-  // Members whose order has not left yet need no stop.
-  for (std::size_t Index = 0; Index < Of.Members.size(); ++Index)
-    if (Of.Members[Index].Phase == MemberPhase::Recorded)
+  // Members that no worker was told to start need no stop.
+  for (std::size_t Index = 0; Index < Of.Members.size(); ++Index) {
+    const MemberPhase Phase = Of.Members[Index].Phase;
+    if (Phase == MemberPhase::Recorded || Phase == MemberPhase::Refused)
       this->memberGone(Of, Index, Now);
+  }
   this->settle(Of, Now);
 }
 
@@ -395,11 +397,33 @@
     return;
   this->note(TableEvent::Kind::Refused, std::string(Task),
              Of.Members[Place.Index].Worker, Run, std::string(Reason));
+  const bool MayMove = Of.isGang() && Of.TaskCount > 1 && !Of.Done &&
+                       !hasEnded(Of.Owner->Phase) &&
+                       !Of.Members[Place.Index].StopWanted;
+  if (MayMove) {
+    this->leaveWorker(Of, Place.Index);
+    Of.Members[Place.Index].Phase = MemberPhase::Refused;
+    Of.Members[Place.Index].Since = Now;
+    return;
+  }
   Of.NotBefore = std::max(Of.NotBefore, Now + Pause);
   this->memberGone(Of, Place.Index, Now);
   this->stopMembers(Of, Now);
 }
 
+void JobTable::move(const MemberRef &Ref, const PlaceRecord &Place,
+                    Instant Now) {
+  Member &Entry = Ref.member();
+  Entry.Worker = Place.Worker;
+  Entry.BornWallMs = Place.BornWallMs;
+  Entry.Phase = MemberPhase::Recorded;
+  Entry.Since = Now;
+  this->OnWorker[Place.Worker].push_back(Ref);
+  this->markDirty(*Ref.Of);
+  this->note(TableEvent::Kind::Placed, Ref.Of->taskName(Ref.Index),
+             Place.Worker, Ref.Of->Run, "moved");
+}
+
 void JobTable::stopAccepted(std::string_view Task, std::int64_t Run,
                             Instant Now) {
   const TaskPlace Place = this->findTask(Task);
@@ -417,7 +441,11 @@
   Entry.Since = Now;
   if (Of.isGang() && Of.Begun && Of.OverSince.Ms == 0)
     Of.OverSince = Now;
-  auto &List = this->OnWorker[Entry.Worker];
+  this->leaveWorker(Of, Index);
+}
+
+void JobTable::leaveWorker(Unit &Of, std::size_t Index) {
+  auto &List = this->OnWorker[Of.Members[Index].Worker];
   std::erase_if(List, [&Of, Index](const MemberRef &Ref) {
     return Ref.Of == &Of && Ref.Index == Index;
   });
@@ -449,7 +477,7 @@
     const bool Ours = Place.Of && Place.Of->Run == Task.Run &&
                       Place.Index < Place.Of->Members.size() &&
                       Place.Of->Members[Place.Index].Worker == Worker &&
-                      Place.Of->Members[Place.Index].Phase != MemberPhase::Gone;
+                      Place.Of->Members[Place.Index].occupies();
     if (!Ours) {
       Unwanted.push_back(Task);
       continue;
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -174,6 +174,41 @@
   REQUIRE(Next.Table.placeable(Later).size() == Case.Waiting);
 }
 
+TEST_CASE("a gang's refused member moves, the others stay") {
+  // A burst of gangs meets workers that shed load: each refusal used to stop
+  // the members that had started.
+  Driver Of({makeStep(2, true)});
+  Unit *Gang = Of.Table.placeable(Of.Now).front();
+  Of.Table.place(*Gang, std::vector<PlaceRecord>{{"w0", 1}, {"w1", 1}}, Of.Now);
+  for (std::size_t Index = 0; Index < 2; ++Index)
+    Of.Table.markSent({Gang, Index}, 1, Of.Now);
+  Of.Table.confirm(Of.task(0, 0), 1, Of.Now);
+  Of.Table.refuse(Of.task(0, 1), 1, Of.Now, Duration{100}, "unhealthy");
+  REQUIRE(Of.Table.membersOn("w1").empty());
+  REQUIRE(Of.Table.membersOn("w0").size() == 1);
+  REQUIRE_FALSE(Gang->Members[0].StopWanted);
+  Of.Table.takeRecords();
+  Of.Table.move({Gang, 1}, {"w2", 1}, Of.Now);
+  REQUIRE(Of.Table.membersOn("w2").size() == 1);
+  REQUIRE(Of.Table.takeRecords().size() == 1); // Stored before the order.
+  REQUIRE(Of.Table.markSent({Gang, 1}, 1, Of.Now));
+  Of.Table.confirm(Of.task(0, 1), 1, Of.Now);
+  Of.end("w2", Of.task(0, 1), 1, RunEnd::Done);
+  REQUIRE(Of.phase() == JobPhase::Completed);
+}
+
+TEST_CASE("a gang with a refused member and no other worker waits again") {
+  Driver Of({makeStep(2, true)});
+  Unit *Gang = Of.Table.placeable(Of.Now).front();
+  Of.Table.place(*Gang, std::vector<PlaceRecord>{{"w0", 1}, {"w1", 1}}, Of.Now);
+  for (std::size_t Index = 0; Index < 2; ++Index) {
+    Of.Table.markSent({Gang, Index}, 1, Of.Now);
+    Of.Table.refuse(Gang->taskName(Index), 1, Of.Now, Duration{100}, "room");
+  }
+  Of.Table.preempt(*Gang, Of.Now);
+  REQUIRE(Of.Table.placeable(Of.Now + Duration{1'000}).size() == 1);
+}
+
 TEST_CASE("a start without an answer keeps its place until a stop is accepted "
           "and a later look does not show it") {
   const auto Stopped = GENERATE(false, true);
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -412,6 +412,23 @@
   return Left;
 }
 
+std::optional<std::size_t>
+planReplacement(std::span<WorkerRoom> Rooms, const WaitingUnit &Gang,
+                std::span<const std::string> OtherRacks) {
+  const bool OneRack = Gang.Step->TightlyCoupled && !OtherRacks.empty();
+  const bool NearData =
+      !Gang.Step->DataRack.empty() &&
+      std::ranges::find(OtherRacks, Gang.Step->DataRack) != OtherRacks.end();
+  for (const Candidate &Entry : candidates(Rooms, Gang, &WorkerRoom::Free)) {
+    const std::string &Rack = Rooms[Entry.Room].Rack;
+    const bool Allowed = (!OneRack || Rack == OtherRacks.front()) &&
+                         (!NearData || Rack == Gang.Step->DataRack);
+    if (Allowed && !Entry.Avoided)
+      return Entry.Room;
+  }
+  return std::nullopt;
+}
+
 PlacementPlan planPlacement(std::span<WorkerRoom> Rooms,
                             std::span<const WaitingUnit> Waiting,
                             std::span<const PlacedUnit> Placed) {
--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -155,4 +155,23 @@
   REQUIRE(Plan.Preempted.empty());
 }
 
+TEST_CASE("a refused task of a gang goes to a worker that is not doubted") {
+  struct Row {
+    const char *Why;
+    bool Tight;
+    std::vector<std::size_t> Doubted;
+    std::optional<std::size_t> Room;
+  };
+  const auto Case = GENERATE(
+      Row{"any rack", false, {0}, 1}, Row{"the gang's rack", true, {}, 2},
+      Row{"its rack is doubted", true, {2, 3}, std::nullopt});
+  CAPTURE(Case.Why);
+  std::vector<WorkerRoom> Rooms = makeRooms(4, 2);
+  for (const std::size_t Index : Case.Doubted)
+    Rooms[Index].Doubted = true;
+  const StepSpec Step = makeStep(2, {1'000, 100, 8}, true, Case.Tight);
+  const std::vector<std::string> OtherRacks{"r1"};
+  REQUIRE(planReplacement(Rooms, makeUnit(Step, 0), OtherRacks) == Case.Room);
+}
+
 } // namespace pistachioflow
