Bar workers that fail what they start; urgent work gives way last

Change: sched/worker_trust bars a worker after early failures of one job (400 ms), of several (2 s, doubling), refusals and runs that stand still; then one start at a time, no gang and no last attempt, until a run lives on it. Guaranteed work takes room from its own priority only once its time to start runs out, and only where no lower priority can give way. The log says why a run is stopped and for whom.

--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -60,10 +60,12 @@
   void workerListed(const JournalRecord &Record);
   void workersReset();
   void turn();
+  PlanningView viewOf(Tenure &Of, Instant Now) const;
   void place(Tenure &Of);
   void sendStops(const Held &Of);
   void moveFromDraining(Tenure &Of);
   void moveRefused(Tenure &Of);
+  void noteSurvivors(Tenure &Of);
   void logEvents(Tenure &Of);
   void ensureHolding(const Held &Of, const Link &Worker);
   asio::awaitable<void> tick(Held Of);
--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -51,6 +51,9 @@
   const DesiredState &Desired;
   const DurationModel &Durations;
   Instant Now;
+  /// Guaranteed work that has waited this long takes room from work of its own
+  /// priority.
+  Duration ReclaimAfter;
 };
 
 /// A decision in terms of the table.
@@ -59,9 +62,15 @@
   std::vector<PlaceRecord> Places;
 };
 
+/// A unit that gives way, and to which.
+struct UnitEviction {
+  Unit *Victim = nullptr;
+  Unit *For = nullptr;
+};
+
 struct PlanningResult {
   std::vector<UnitPlacement> Starts;
-  std::vector<Unit *> Preempted;
+  std::vector<UnitEviction> Preempted;
   std::size_t Waiting = 0;
 };
 
--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -8,6 +8,7 @@
 #include "pistachioflow/entry/tasks.hpp"
 #include "pistachioflow/platform/worker_client.hpp"
 #include "pistachioflow/sched/worker.hpp"
+#include "pistachioflow/sched/worker_trust.hpp"
 
 namespace pistachioflow {
 
@@ -31,7 +32,7 @@
   std::int64_t EndsRecorded = 0;     ///< Highest end whose records are stored.
   std::int64_t EndsAcknowledged = 0; ///< Highest end it was told to forget.
   Instant DoubtedUntil;
-  std::int64_t FailureStreak = 0;
+  WorkerTrust Trust;
   Signal Wake; ///< Notified when EndsRecorded grows.
 
   /// Its clock at \p Now.
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -99,6 +99,8 @@
   std::int64_t EndedWallMs = 0;
   Instant AcceptedAt; ///< On this process's monotonic clock.
   std::map<std::int64_t, Occurrence> Occurrences;
+  std::set<std::string, std::less<>> FailedOn; ///< Workers of failed runs.
+  bool Lived = false; ///< One of its runs has outlived an early failure.
   std::int64_t EndedOccurrences = 0;
   std::int64_t NextOccurrence = 0;
 };
@@ -168,7 +170,7 @@
   void place(Unit &Of, std::span<const PlaceRecord> Places, Instant Now);
 
   /// Asks for the end of the current run; it will wait for a place again.
-  void preempt(Unit &Of, Instant Now);
+  void preempt(Unit &Of, Instant Now, std::string_view Reason);
 
   /// Marks a start as ordered. Returns false when it is no longer wanted, and
   /// then the member is gone.
@@ -248,7 +250,7 @@
   void unitDone(Unit &Of, Instant Now, std::int64_t WallMs);
   void endJob(Job &Owner, JobPhase Phase, std::int64_t WallMs, Instant Now,
               std::string_view Reason);
-  void stopMembers(Unit &Of, Instant Now);
+  void stopMembers(Unit &Of, Instant Now, std::string_view Reason);
   void settle(Unit &Of, Instant Now);
   void occupy(Unit &Of);
   void markDirty(const Unit &Of);
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -24,6 +24,9 @@
   bool Usable = true;
   /// Doubted workers are used only where no other has room.
   bool Doubted = false;
+  bool Proven = true; ///< A run has lately lived on it.
+  /// Takes one task that may fail, and no gang, until it is trusted again.
+  bool OnProbation = false;
 };
 
 /// A unit that waits for a place.
@@ -37,7 +40,10 @@
   std::size_t Group = 0; ///< Units of the same step of one occurrence share it.
   /// Workers that already hold tasks of a group with a limit for each worker.
   std::vector<std::string> GroupOn;
-  bool WithinGuarantee = false;
+  /// Its workspace's guarantee covers it and its time to start runs out: work
+  /// of the same priority beyond other guarantees gives way.
+  bool MayReclaim = false;
+  bool LastAttempt = false; ///< Its job ends as failed if it fails once more.
 };
 
 /// A unit that has a place.
@@ -57,11 +63,17 @@
   std::vector<std::size_t> Rooms;
 };
 
+/// A placed unit that gives way to a waiting one.
+struct PlannedEviction {
+  std::size_t Placed = 0;
+  std::size_t Waiting = 0;
+};
+
 /// What one round of placement decided.
 struct PlacementPlan {
   std::vector<PlannedStart> Starts;
-  std::vector<std::size_t> Preempted; ///< Indices of placed units.
-  std::vector<std::size_t> Blocked;   ///< Indices of waiting units.
+  std::vector<PlannedEviction> Preempted;
+  std::vector<std::size_t> Blocked; ///< Indices of waiting units.
 };
 
 /// Chooses another worker for one task of a gang that its first worker refused.
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -35,14 +35,18 @@
 /// Workers hear of a gang's end from each other, within a few milliseconds.
 constexpr Duration GangEndMargin{500};
 constexpr Duration HoldRetryPause{150};
-constexpr Duration PauseAfterRefusal{100};
+constexpr Duration PauseAfterRefusal{30};
+/// An id of a job, the first part of the name of each of its tasks.
+constexpr std::size_t JobIdSize = 16;
 constexpr Duration DoubtAfterRefusal{500};
-/// Doubt after a failed run doubles with each further failure up to a limit.
 constexpr Duration DoubtAfterFailure{1'000};
-constexpr std::int64_t LongestDoubtDoublings = 4;
+/// A job that failed on this many workers, and lived on none, is to blame.
+constexpr std::size_t WorkersOfABadJob = 3;
 /// Workers' entries change every heartbeat; reading them together saves calls.
 constexpr Duration WorkerListPace{200};
 constexpr WritePatience OwnerPatience{{3'600'000}, {3'600'000}};
+/// For the start itself, within the time in which guaranteed work must start.
+constexpr Duration ReclaimMargin{1'000};
 /// Ended jobs are kept this much longer than callers may ask for them.
 constexpr Duration RetentionMargin{60'000};
 
@@ -306,27 +310,32 @@
     spawnTask(this->Io, "flush", this->flush(Of));
 }
 
+PlanningView Dispatcher::viewOf(Tenure &Of, Instant Now) const {
+  const Duration ReclaimAfter = this->Settings.ReclaimTimeout -
+                                this->Settings.StopTimeout - ReclaimMargin;
+  return {Of.Table,        Of.Workers, this->Desired,
+          this->Durations, Now,        ReclaimAfter};
+}
+
 void Dispatcher::place(Tenure &Of) {
   const Instant Now = this->Time.monotonic();
-  const PlanningResult Plan =
-      planRound({Of.Table, Of.Workers, this->Desired, this->Durations, Now});
+  const PlanningResult Plan = planRound(this->viewOf(Of, Now));
   entryMetrics().Waiting.set(
       static_cast<std::int64_t>(Plan.Waiting - Plan.Starts.size()));
   entryMetrics().Preemptions.add(Plan.Preempted.size());
   for (const UnitPlacement &Start : Plan.Starts)
     Of.Table.place(*Start.Of, Start.Places, Now);
-  for (Unit *Victim : Plan.Preempted)
-    Of.Table.preempt(*Victim, Now);
+  for (const UnitEviction &Entry : Plan.Preempted)
+    Of.Table.preempt(*Entry.Victim, Now, "for " + Entry.For->name());
 }
 
 void Dispatcher::moveRefused(Tenure &Of) {
   const Instant Now = this->Time.monotonic();
-  const MovePlan Plan =
-      planMoves({Of.Table, Of.Workers, this->Desired, this->Durations, Now});
+  const MovePlan Plan = planMoves(this->viewOf(Of, Now));
   for (const MovePlan::Move &Move : Plan.Moves)
     Of.Table.move(Move.Ref, Move.Place, Now);
   for (Unit *Gang : Plan.GivenUp)
-    Of.Table.preempt(*Gang, Now);
+    Of.Table.preempt(*Gang, Now, "no_worker_for_refused");
 }
 
 /// Ends runs that would not end before their worker leaves, so that they go on
@@ -348,7 +357,7 @@
           Ref.Of->Owner->Submission.Queue, Ref.Of->spec().EstimatedMs);
       const std::int64_t LeftMs = ExpectedMs - (Now - Ref.Of->PlacedAt).Ms;
       if (LeftMs > Worker->Entry.RemainingMs)
-        Of.Table.preempt(*Ref.Of, Now);
+        Of.Table.preempt(*Ref.Of, Now, "worker_drains");
     }
   }
 }
@@ -383,6 +392,7 @@
       this->ensureHolding(Of, Worker);
       ++Entry;
     }
+    this->noteSurvivors(*Of);
     Of->Table.expire(this->Time.wall().Ms - this->Settings.StatusRetention.Ms -
                      RetentionMargin.Ms);
     this->requestTurn();
@@ -477,6 +487,8 @@
     const bool Unanswered = Answer.Outcome == OrderOutcome::Unknown;
     if (!Unanswered && !MaybeStarted) {
       Worker->DoubtedUntil = this->Time.monotonic() + DoubtAfterRefusal;
+      if (Answer.Outcome == OrderOutcome::Unhealthy)
+        noteRefusal(Worker->Trust, this->Time.monotonic());
       if (Answer.Outcome == OrderOutcome::Late ||
           Answer.Outcome == OrderOutcome::OtherLife)
         Worker->Synced = false;
@@ -664,17 +676,38 @@
   if ((!Stuck && !Ended) || Found == Of.Workers.end())
     return;
   WorkerLink &Worker = *Found->second;
+  const Instant Now = this->Time.monotonic();
+  if (Stuck)
+    noteStuckRun(Worker.Trust, Now);
   if (Event.Detail == "done") {
-    Worker.FailureStreak = 0;
+    noteSurvival(Worker.Trust, Now - Duration{Event.Ms}, Now);
     this->Durations.learn(Event.Queue, Event.EstimatedMs, Event.Ms);
   }
-  if (!Stuck && Event.Detail != "failed")
+  if (Event.Detail != "failed")
     return;
-  const std::int64_t Doublings =
-      std::min(Worker.FailureStreak++, LongestDoubtDoublings);
-  Worker.DoubtedUntil =
-      this->Time.monotonic() +
-      DoubtAfterFailure * (std::int64_t{1} << static_cast<unsigned>(Doublings));
+  const auto JobId = std::string_view(Event.Subject).substr(0, JobIdSize);
+  const Job *Owner = Of.Table.find(JobId);
+  const bool JobsFault =
+      Owner && !Owner->Lived && Owner->FailedOn.size() >= WorkersOfABadJob;
+  if (Duration{Event.Ms} < EarlyFailure && !JobsFault)
+    noteEarlyFailure(Worker.Trust, JobId, Now);
+  else
+    Worker.DoubtedUntil = Now + DoubtAfterFailure;
+}
+
+/// Restores trust in workers on which a run has lived for long enough.
+void Dispatcher::noteSurvivors(Tenure &Of) {
+  const Instant Now = this->Time.monotonic();
+  for (auto &[Id, Worker] : Of.Workers)
+    for (const MemberRef &Ref : Of.Table.membersOn(Id)) {
+      const Instant PlacedAt = Ref.Of->PlacedAt;
+      const bool Lives = Ref.member().Phase == MemberPhase::Running &&
+                         Ref.Of->Begun && Worker->SilentSince.Ms == 0;
+      if (!Lives || Now - PlacedAt <= EarlyFailure)
+        continue;
+      Ref.Of->Owner->Lived = true;
+      noteSurvival(Worker->Trust, PlacedAt, Now);
+    }
 }
 
 void Dispatcher::logEvents(Tenure &Of) {
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -19,6 +19,15 @@
 
 using AcceleratorUse = std::map<std::string, std::int64_t>;
 
+/// Whether a run that was placed after the worker's last failure has yet to
+/// show how it fares.
+bool hasNewRun(const PlanningView &View, const WorkerLink &Link) {
+  const auto Members = View.Table.membersOn(Link.Id);
+  return std::ranges::any_of(Members, [&Link](const MemberRef &Ref) {
+    return Ref.Of->PlacedAt > Link.Trust.LastStrike;
+  });
+}
+
 std::vector<WorkerRoom> collectRooms(const PlanningView &View) {
   std::vector<WorkerRoom> Rooms;
   for (const auto &[Id, Link] : View.Workers) {
@@ -31,8 +40,12 @@
     Room.Free = Room.Capacity - View.Table.usedOn(Id);
     Room.Soon = Room.Free;
     Room.Usable = Link->Listed && Link->Synced && !Link->Entry.Draining &&
-                  Link->SilentSince.Ms == 0;
+                  Link->SilentSince.Ms == 0 && !isBarred(Link->Trust, View.Now);
     Room.Doubted = Link->DoubtedUntil > View.Now;
+    Room.Proven = isProven(Link->Trust, View.Now);
+    Room.OnProbation = Link->Trust.OnProbation;
+    if (Room.OnProbation)
+      Room.Usable = Room.Usable && !hasNewRun(View, *Link);
     Rooms.push_back(std::move(Room));
   }
   return Rooms;
@@ -146,10 +159,14 @@
   Entry.Step = &Of.spec();
   Entry.TaskCount = Of.TaskCount;
   Entry.Avoided = &Of.FailedOn;
+  Entry.LastAttempt = Of.Failures > 0 && !Of.spec().LongRunning &&
+                      Of.Failures + 1 >= Owner.Submission.Terms.MaxAttempts;
   const auto Used = Use.find(Entry.Workspace);
   const std::int64_t Held = Used == Use.end() ? 0 : Used->second;
-  Entry.WithinGuarantee = Held + Of.spec().Each.Accelerators * Of.TaskCount <=
+  const bool Guaranteed = Held + Of.spec().Each.Accelerators * Of.TaskCount <=
                           guaranteeOf(View, Entry.Workspace);
+  Entry.MayReclaim =
+      Guaranteed && View.Now - Owner.AcceptedAt >= View.ReclaimAfter;
   if (Of.spec().MaxPerWorker > 0) {
     const StepState &Step = Owner.Occurrences.at(Of.Occurrence).Steps[Of.Step];
     for (const Unit &Sibling : Step.Units)
@@ -285,8 +302,8 @@
           {Rooms[Room].Id, View.Workers.at(Rooms[Room].Id)->BornWallMs});
     Result.Starts.push_back(std::move(Entry));
   }
-  for (const std::size_t Index : Plan.Preempted)
-    Result.Preempted.push_back(Active[Index]);
+  for (const PlannedEviction &Entry : Plan.Preempted)
+    Result.Preempted.push_back({Active[Entry.Placed], Units[Entry.Waiting]});
   return Result;
 }
 
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -327,12 +327,12 @@
     this->OnWorker[Of.Members[Index].Worker].push_back({&Of, Index});
 }
 
-void JobTable::preempt(Unit &Of, Instant Now) {
+void JobTable::preempt(Unit &Of, Instant Now, std::string_view Reason) {
   ++Of.Preemptions;
-  this->stopMembers(Of, Now);
+  this->stopMembers(Of, Now, Reason);
 }
 
-void JobTable::stopMembers(Unit &Of, Instant Now) {
+void JobTable::stopMembers(Unit &Of, Instant Now, std::string_view Reason) {
   bool Changed = false;
   for (std::size_t Index = 0; Index < Of.Members.size(); ++Index) {
     Member &Entry = Of.Members[Index];
@@ -342,7 +342,8 @@
     Changed = true;
   }
   if (Changed)
-    this->note(TableEvent::Kind::StopWanted, Of.name(), {}, Of.Run);
+    this->note(TableEvent::Kind::StopWanted, Of.name(), {}, Of.Run,
+               std::string(Reason));
   // Members that no worker was told to start need no stop.
   for (std::size_t Index = 0; Index < Of.Members.size(); ++Index) {
     const MemberPhase Phase = Of.Members[Index].Phase;
@@ -408,7 +409,7 @@
   }
   Of.NotBefore = std::max(Of.NotBefore, Now + Pause);
   this->memberGone(Of, Place.Index, Now);
-  this->stopMembers(Of, Now);
+  this->stopMembers(Of, Now, "refused");
 }
 
 void JobTable::move(const MemberRef &Ref, const PlaceRecord &Place,
@@ -517,7 +518,7 @@
     this->note(TableEvent::Kind::Vanished, Ref.Of->taskName(Ref.Index),
                std::string(Worker), Ref.Of->Run);
     this->memberGone(*Ref.Of, Ref.Index, Now);
-    this->stopMembers(*Ref.Of, Now);
+    this->stopMembers(*Ref.Of, Now, "member_vanished");
   }
   return Unwanted;
 }
@@ -548,7 +549,7 @@
   this->note(TableEvent::Kind::Stuck, Of.name(), First.Worker, Of.Run, {},
              IdleFor(First).Ms);
   Of.FailedOn.insert(First.Worker);
-  this->stopMembers(Of, Now);
+  this->stopMembers(Of, Now, "stands_still");
 }
 
 void JobTable::applyEnd(Unit &Of, std::size_t Index, const EndedRun &End,
@@ -569,6 +570,7 @@
       ++Of.Failures;
     Of.FailedRun = End.Run;
     Of.FailedOn.insert(Of.Members[Index].Worker);
+    Of.Owner->FailedOn.insert(Of.Members[Index].Worker);
     Of.NotBefore = std::max(Of.NotBefore, Now + PauseAfterFailure);
   }
   this->memberGone(Of, Index, Now);
@@ -577,7 +579,7 @@
   if (Done && !Of.Done)
     this->unitDone(Of, Now, WallMs);
   else if (!Of.Done)
-    this->stopMembers(Of, Now);
+    this->stopMembers(Of, Now, "member_ended");
   const std::int64_t Budget = Of.Owner->Submission.Terms.MaxAttempts;
   if (!Of.Done && !Of.spec().LongRunning && Of.Failures >= Budget &&
       !hasEnded(Of.Owner->Phase))
@@ -620,7 +622,7 @@
       for (Unit &Entry : Step.Units) {
         this->Waiting.erase(&Entry);
         if (!Entry.Done)
-          this->stopMembers(Entry, Now);
+          this->stopMembers(Entry, Now, "job_ended");
         const std::string Name = Entry.name();
         this->DirtyUnits.erase(Name);
         if (this->RecordedUnits.erase(Name) > 0)
@@ -653,7 +655,7 @@
     this->note(TableEvent::Kind::Vanished, Ref.Of->taskName(Ref.Index),
                std::string(Worker), Ref.Of->Run, "reborn");
     this->memberGone(*Ref.Of, Ref.Index, Now);
-    this->stopMembers(*Ref.Of, Now);
+    this->stopMembers(*Ref.Of, Now, "member_vanished");
   }
 }
 
@@ -688,7 +690,7 @@
     this->note(TableEvent::Kind::Vanished, Ref.Of->taskName(Ref.Index),
                std::string(Worker), Ref.Of->Run, std::string(Reason));
     this->memberGone(*Ref.Of, Ref.Index, Now);
-    this->stopMembers(*Ref.Of, Now);
+    this->stopMembers(*Ref.Of, Now, "member_lost");
   }
 }
 
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -205,7 +205,7 @@
     Of.Table.markSent({Gang, Index}, 1, Of.Now);
     Of.Table.refuse(Gang->taskName(Index), 1, Of.Now, Duration{100}, "room");
   }
-  Of.Table.preempt(*Gang, Of.Now);
+  Of.Table.preempt(*Gang, Of.Now, "no_worker");
   REQUIRE(Of.Table.placeable(Of.Now + Duration{1'000}).size() == 1);
 }
 
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -28,12 +28,16 @@
 bool eligible(const WorkerRoom &Room, const WaitingUnit &Unit) {
   if (!Room.Usable || Room.Service != Unit.Service)
     return false;
+  if (Room.OnProbation && (Unit.LastAttempt || Unit.TaskCount > 1))
+    return false;
   const std::string &Label = Unit.Step->RequiredLabel;
   return Label.empty() ||
          std::ranges::find(Room.Labels, Label) != Room.Labels.end();
 }
 
 bool avoided(const WorkerRoom &Room, const WaitingUnit &Unit) {
+  if (Unit.LastAttempt && !Room.Proven)
+    return true;
   return Room.Doubted || (Unit.Avoided && Unit.Avoided->contains(Room.Id));
 }
 
@@ -47,8 +51,10 @@
 
 std::int64_t tasksFor(const WorkerRoom &Room, const WaitingUnit &Unit,
                       const Demand &Available) {
-  return std::min(fittingTasks(Available, countedDemand(*Unit.Step)),
-                  spreadLimit(Room, Unit));
+  const std::int64_t Fitting =
+      std::min(fittingTasks(Available, countedDemand(*Unit.Step)),
+               spreadLimit(Room, Unit));
+  return Room.OnProbation ? std::min<std::int64_t>(Fitting, 1) : Fitting;
 }
 
 /// A worker with the number of the unit's tasks that fit on it.
@@ -158,6 +164,8 @@
   for (const std::size_t Index : Chosen) {
     List[Index].Free = List[Index].Free - Each;
     List[Index].Soon = List[Index].Soon - Each;
+    // One start shows whether it can be trusted.
+    List[Index].Usable = List[Index].Usable && !List[Index].OnProbation;
   }
 }
 
@@ -212,16 +220,19 @@
   bool mayEvict(const PlacedUnit &Other) const {
     if (Other.Priority > this->Unit.Priority)
       return true;
-    return Other.Priority == this->Unit.Priority &&
-           this->Unit.WithinGuarantee && Other.BeyondGuarantee &&
-           Other.Workspace != this->Unit.Workspace;
+    return Other.Priority == this->Unit.Priority && this->Unit.MayReclaim &&
+           Other.BeyondGuarantee && Other.Workspace != this->Unit.Workspace;
   }
 
   /// A start costs even where no work is lost yet.
   double cost(std::size_t Index) const {
     constexpr double PerTask = 1.0;
+    // Work of the same priority gives way only where nothing else does.
+    constexpr double SamePriority = 1e6;
     const PlacedUnit &Other = this->Placed[Index];
-    return Other.LostWork + PerTask * static_cast<double>(Other.Rooms.size());
+    const bool Same = Other.Priority == this->Unit.Priority;
+    return (Same ? SamePriority : 0) + Other.LostWork +
+           PerTask * static_cast<double>(Other.Rooms.size());
   }
 
   Demand freedOn(std::size_t Victim, std::size_t Room) const {
@@ -344,7 +355,7 @@
       return false;
     }
     if (Unit.Priority == 0)
-      this->evictFor(Unit, Racks);
+      this->evictFor(Index, Racks);
     return false;
   }
 
@@ -359,7 +370,8 @@
           this->Waiting[Next].GroupOn.push_back(this->List[Room].Id);
   }
 
-  void evictFor(const WaitingUnit &Unit, std::span<const std::string> Racks) {
+  void evictFor(std::size_t Index, std::span<const std::string> Racks) {
+    const WaitingUnit &Unit = this->Waiting[Index];
     const EvictionPlanner Planner(
         this->List, this->Placed,
         std::span<const bool>(this->Stopping.get(), this->Placed.size()), Unit);
@@ -368,7 +380,7 @@
       return;
     for (const std::size_t Victim : Made->Victims) {
       this->Stopping[Victim] = true;
-      this->Plan.Preempted.push_back(Victim);
+      this->Plan.Preempted.push_back({Victim, Index});
       for (const std::size_t Room : this->Placed[Victim].Rooms)
         this->List[Room].Soon =
             this->List[Room].Soon + this->Placed[Victim].Each;
--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -122,7 +122,10 @@
   const std::vector<WaitingUnit> Waiting{makeUnit(Step, 0)};
   const PlacementPlan Plan = planPlacement(Rooms, Waiting, Placed);
   REQUIRE(Plan.Starts.empty());
-  REQUIRE(Plan.Preempted == Case.Evicted);
+  std::vector<std::size_t> Evicted;
+  for (const PlannedEviction &Entry : Plan.Preempted)
+    Evicted.push_back(Entry.Placed);
+  REQUIRE(Evicted == Case.Evicted);
 }
 
 TEST_CASE("guaranteed work takes room back from workspaces beyond theirs") {
@@ -134,7 +137,7 @@
   Placed[0].BeyondGuarantee = Beyond;
   const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
   std::vector<WaitingUnit> Waiting{makeUnit(Step, 0)};
-  Waiting[0].WithinGuarantee = Within;
+  Waiting[0].MayReclaim = Within;
   const PlacementPlan Plan = planPlacement(Rooms, Waiting, Placed);
   REQUIRE(Plan.Preempted.size() == Evicted);
 }
@@ -174,4 +177,44 @@
   REQUIRE(planReplacement(Rooms, makeUnit(Step, 0), OtherRacks) == Case.Room);
 }
 
+TEST_CASE(
+    "a full queue does not rush to a worker that failed what it started") {
+  // Workers that fail everything are empty again at once, while all others are
+  // full: without a bar they draw the whole queue.
+  struct Row {
+    const char *Why;
+    std::int64_t Tasks;
+    bool LastAttempt;
+    std::size_t Starts;
+  };
+  const auto Case = GENERATE(Row{"one task tries it", 1, false, 1},
+                             Row{"not a last attempt", 1, true, 0},
+                             Row{"not a gang", 2, false, 0});
+  CAPTURE(Case.Why);
+  std::vector<WorkerRoom> Rooms = makeRooms(2, 2);
+  Rooms[0].Free = Rooms[0].Soon = {};
+  Rooms[1].OnProbation = true;
+  const StepSpec Step = makeStep(Case.Tasks, {1'000, 100, 1}, true, false);
+  WaitingUnit Unit = makeUnit(Step, 1);
+  Unit.LastAttempt = Case.LastAttempt;
+  const std::vector<WaitingUnit> Waiting(4, Unit);
+  REQUIRE(planPlacement(Rooms, Waiting, {}).Starts.size() == Case.Starts);
+}
+
+TEST_CASE("work of the same priority gives way last") {
+  // A burst of urgent gangs in a full cluster: gangs that had just started were
+  // the cheapest to stop, and stopped each other.
+  std::vector<WorkerRoom> Rooms = makeRooms(2, 2);
+  std::vector<PlacedUnit> Placed{fillRooms(Rooms, {0}, 0, 0),
+                                 fillRooms(Rooms, {1}, 2, 900)};
+  Placed[0].Workspace = "other";
+  Placed[0].BeyondGuarantee = true;
+  const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
+  WaitingUnit Unit = makeUnit(Step, 0);
+  Unit.MayReclaim = true;
+  const PlacementPlan Plan = planPlacement(Rooms, {&Unit, 1}, Placed);
+  REQUIRE(Plan.Preempted.size() == 1);
+  REQUIRE(Plan.Preempted.front().Placed == 1);
+}
+
 } // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/sched/worker_trust_test.cpp
@@ -0,0 +1,54 @@
+#include "pistachioflow/sched/worker_trust.hpp"
+
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace pistachioflow {
+
+TEST_CASE("a worker is barred by what fails on it") {
+  struct Row {
+    const char *Why;
+    std::vector<std::string> FailedJobs;
+    std::int64_t Refusals;
+    bool Stuck;
+    std::int64_t BarredMs; ///< At least this long.
+    std::int64_t FreeMs;   ///< Not this long.
+  };
+  const auto Case = GENERATE(
+      Row{"eight tasks of one job", std::vector<std::string>(8, "a"), 0, false,
+          300, 1'000},
+      Row{"two jobs", {"a", "b"}, 0, false, 1'900, 4'000},
+      Row{"many jobs", {"a", "b", "c", "d", "e"}, 0, false, 5'000, 7'000},
+      Row{"one refusal", {}, 1, false, 200, 500},
+      Row{"refusals in a row", {}, 4, false, 2'000, 4'000},
+      Row{"a run stood still", {}, 0, true, 1'900, 4'000});
+  CAPTURE(Case.Why);
+  const Instant Now{50'000};
+  WorkerTrust Trust;
+  for (const std::string &Job : Case.FailedJobs)
+    noteEarlyFailure(Trust, Job, Now);
+  for (std::int64_t Count = 0; Count < Case.Refusals; ++Count)
+    noteRefusal(Trust, Now);
+  if (Case.Stuck)
+    noteStuckRun(Trust, Now);
+  REQUIRE(isBarred(Trust, Now + Duration{Case.BarredMs}));
+  REQUIRE_FALSE(isBarred(Trust, Now + Duration{Case.FreeMs}));
+  REQUIRE(Trust.OnProbation);
+}
+
+TEST_CASE("only a run that was started after a failure restores trust") {
+  const Instant Now{50'000};
+  WorkerTrust Trust;
+  noteEarlyFailure(Trust, "a", Now);
+  noteSurvival(Trust, Now - Duration{5'000}, Now + Duration{100});
+  REQUIRE(Trust.OnProbation);
+  const Instant Later = Now + Duration{2'000};
+  noteSurvival(Trust, Now + Duration{1'000}, Later);
+  REQUIRE_FALSE(Trust.OnProbation);
+  REQUIRE(isProven(Trust, Later));
+  REQUIRE_FALSE(isProven(Trust, Later + Duration{10'000}));
+}
+
+} // namespace pistachioflow
