--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -54,6 +54,7 @@
   /// Guaranteed work that has waited this long takes room from work of its own
   /// priority.
   Duration ReclaimAfter;
+  Duration StopTime; ///< A worker ends a stopped run within this.
 };
 
 /// A decision in terms of the table.
@@ -68,9 +69,16 @@
   Unit *For = nullptr;
 };
 
+/// Workers that lower priorities leave to a unit.
+struct UnitReservation {
+  Unit *For = nullptr;
+  std::vector<std::string> Workers;
+};
+
 struct PlanningResult {
   std::vector<UnitPlacement> Starts;
   std::vector<UnitEviction> Preempted;
+  std::vector<UnitReservation> Reservations;
   std::size_t Waiting = 0;
 };
 
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -36,6 +36,8 @@
   Instant Since;     ///< When the phase was entered.
   Instant StopAcked; ///< When the worker accepted a stop; 0: it has not.
   Instant IdleSince; ///< Since when it uses no processor; 0: it does.
+  std::int64_t ProgressPercent = 0; ///< As last reported.
+  Instant ReportedAt;
 
   /// Whether it takes, or may take, room on its worker.
   bool occupies() const {
@@ -68,7 +70,8 @@
   Instant PlacedAt;            ///< Of the newest run.
   Instant NotBefore;           ///< Pause after a failure or a refusal.
   std::set<std::string, std::less<>> FailedOn; ///< Workers of failed runs.
-  std::int64_t Preemptions = 0;
+  std::vector<std::string> ReservedOn;         ///< Workers that drain for it.
+  Instant ReservedAt;
 
   const StepSpec &spec() const;
   bool isGang() const;
@@ -123,6 +126,7 @@
     Vanished, ///< The worker no longer has a run that it had confirmed.
     Stuck,    ///< A run uses no processor though its gang is complete.
     StopWanted,
+    Reserved,
     UnitDone,
     JobEnded,
   };
@@ -172,6 +176,9 @@
   /// Asks for the end of the current run; it will wait for a place again.
   void preempt(Unit &Of, Instant Now, std::string_view Reason);
 
+  /// Remembers the workers that drain for \p Of.
+  void reserve(Unit &Of, std::span<const std::string> Workers, Instant Now);
+
   /// Marks a start as ordered. Returns false when it is no longer wanted, and
   /// then the member is gone.
   bool markSent(const MemberRef &Ref, std::int64_t Run, Instant Now);
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <set>
 #include <span>
@@ -12,6 +13,9 @@
 
 namespace pistachioflow {
 
+/// Marks the absence of a group of units.
+inline constexpr std::size_t NoGroup = std::numeric_limits<std::size_t>::max();
+
 /// One worker as the placement sees it.
 struct WorkerRoom {
   std::string Id;
@@ -19,14 +23,19 @@
   std::string Rack;
   std::vector<std::string> Labels;
   Demand Capacity;
-  Demand Free; ///< Now.
-  Demand Soon; ///< Once everything that is being stopped has ended.
+  Demand Free;   ///< Now.
+  Demand Soon;   ///< Once everything that is being stopped has ended.
+  Demand Likely; ///< Soon, and once what probably ends by itself has ended.
   bool Usable = true;
   /// Doubted workers are used only where no other has room.
   bool Doubted = false;
   bool Proven = true; ///< A run has lately lived on it.
   /// Takes one task that may fail, and no gang, until it is trusted again.
   bool OnProbation = false;
+  /// The group that an earlier round reserved it for; others prefer other
+  /// rooms.
+  std::size_t KeptFor = NoGroup;
+  bool Reserved = false; ///< In this round, for a unit ahead in the order.
 };
 
 /// A unit that waits for a place.
@@ -43,6 +52,10 @@
   /// Its workspace's guarantee covers it and its time to start runs out: work
   /// of the same priority beyond other guarantees gives way.
   bool MayReclaim = false;
+  /// Workers that earlier rounds reserved for it.
+  std::span<const std::string> ReservedOn;
+  /// Waits for runs that probably end as soon as a stop would end them.
+  bool Patient = false;
   bool LastAttempt = false; ///< Its job ends as failed if it fails once more.
 };
 
@@ -53,8 +66,11 @@
   Demand Each;
   std::vector<std::size_t> Rooms; ///< Indices of its members' workers.
   bool Stopping = false;
+  bool EndsSoon = false; ///< Probably, and as soon as a stop would end it.
+
   bool BeyondGuarantee = false; ///< Its workspace uses more than its guarantee.
   double LostWork = 0;          ///< Core-seconds that a stop would throw away.
+  std::int64_t LeftMs = 0;      ///< Until it probably ends by itself.
 };
 
 /// A unit's place: one room for each of its tasks, in the order of the tasks.
@@ -69,13 +85,23 @@
   std::size_t Waiting = 0;
 };
 
+/// Rooms that lower ranks leave alone until a waiting gang fits on them.
+struct PlannedReservation {
+  std::size_t Waiting = 0;
+  std::vector<std::size_t> Rooms;
+};
+
 /// What one round of placement decided.
 struct PlacementPlan {
   std::vector<PlannedStart> Starts;
   std::vector<PlannedEviction> Preempted;
+  std::vector<PlannedReservation> Reservations;
   std::vector<std::size_t> Blocked; ///< Indices of waiting units.
 };
 
+/// Whether the worker may ever run a task of the unit, full or not.
+bool mayHost(const WorkerRoom &Room, const WaitingUnit &Unit);
+
 /// Chooses another worker for one task of a gang that its first worker refused.
 /// \p OtherRacks are the racks of the gang's other tasks. Doubted workers are
 /// left out: a second refusal would cost the gang more time than a new place.
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -80,6 +80,7 @@
     break;
   case TableEvent::Kind::Stuck:
   case TableEvent::Kind::StopWanted:
+  case TableEvent::Kind::Reserved:
   case TableEvent::Kind::UnitDone:
     break;
   }
@@ -313,8 +314,13 @@
 PlanningView Dispatcher::viewOf(Tenure &Of, Instant Now) const {
   const Duration ReclaimAfter = this->Settings.ReclaimTimeout -
                                 this->Settings.StopTimeout - ReclaimMargin;
-  return {Of.Table,        Of.Workers, this->Desired,
-          this->Durations, Now,        ReclaimAfter};
+  return {Of.Table,
+          Of.Workers,
+          this->Desired,
+          this->Durations,
+          Now,
+          ReclaimAfter,
+          this->Settings.StopTimeout};
 }
 
 void Dispatcher::place(Tenure &Of) {
@@ -325,6 +331,8 @@
   entryMetrics().Preemptions.add(Plan.Preempted.size());
   for (const UnitPlacement &Start : Plan.Starts)
     Of.Table.place(*Start.Of, Start.Places, Now);
+  for (const UnitReservation &Entry : Plan.Reservations)
+    Of.Table.reserve(*Entry.For, Entry.Workers, Now);
   for (const UnitEviction &Entry : Plan.Preempted)
     Of.Table.preempt(*Entry.Victim, Now, "for " + Entry.For->name());
 }
@@ -711,9 +719,9 @@
 }
 
 void Dispatcher::logEvents(Tenure &Of) {
-  constexpr std::array Names{"placed",      "started",      "start_refused",
-                             "run_ended",   "run_vanished", "run_stuck",
-                             "stop_wanted", "unit_done",    "job_ended"};
+  constexpr std::array Names{
+      "placed",    "started",     "start_refused", "run_ended", "run_vanished",
+      "run_stuck", "stop_wanted", "reserved",      "unit_done", "job_ended"};
   for (const TableEvent &Event : Of.Table.takeEvents()) {
     this->learnFromEvents(Of, Event);
     countEvent(Event);
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -16,6 +16,8 @@
 constexpr double MilliPerUnit = 1'000.0;
 /// The members that are there wait for the others for a few seconds only.
 constexpr Duration MoveWithin{1'000};
+/// Other workers may drain sooner after this long.
+constexpr Duration ReservationLasts{3'000};
 
 using AcceleratorUse = std::map<std::string, std::int64_t>;
 
@@ -39,6 +41,7 @@
     Room.Capacity = Link->Entry.Capacity;
     Room.Free = Room.Capacity - View.Table.usedOn(Id);
     Room.Soon = Room.Free;
+    Room.Likely = Room.Free;
     Room.Usable = Link->Listed && Link->Synced && !Link->Entry.Draining &&
                   Link->SilentSince.Ms == 0 && !isBarred(Link->Trust, View.Now);
     Room.Doubted = Link->DoubtedUntil > View.Now;
@@ -112,6 +115,32 @@
   return Cores * Seconds * static_cast<double>(Of.TaskCount);
 }
 
+/// Until a run probably ends.
+struct TimeLeft {
+  std::int64_t Ms = 0;
+  bool ByProgress = false; ///< Else by what such runs take.
+};
+
+TimeLeft timeLeft(const PlanningView &View, const Unit &Of) {
+  constexpr std::int64_t TellingPercent = 5;
+  constexpr std::int64_t Whole = 100;
+  constexpr std::int64_t ShortestMs = 100;
+  constexpr std::int64_t OverdueMs = 300; ///< It has slowed down since.
+  const std::int64_t RunMs = (View.Now - Of.PlacedAt).Ms;
+  const std::int64_t Expected = View.Durations.expectedMs(
+      Of.Owner->Submission.Queue, Of.spec().EstimatedMs);
+  std::int64_t ByProgress = 0;
+  for (const Member &At : Of.Members) {
+    if (At.ProgressPercent < TellingPercent)
+      return {std::max(Expected - RunMs, ShortestMs), false};
+    const std::int64_t TookMs = (At.ReportedAt - Of.PlacedAt).Ms;
+    const std::int64_t AtReport =
+        TookMs * (Whole - At.ProgressPercent) / At.ProgressPercent;
+    ByProgress = std::max(ByProgress, AtReport - (View.Now - At.ReportedAt).Ms);
+  }
+  return {std::max(ByProgress, ShortestMs), ByProgress > -OverdueMs};
+}
+
 std::vector<PlacedUnit> collectPlaced(const PlanningView &View,
                                       std::span<Unit *const> Active,
                                       std::vector<WorkerRoom> &Rooms,
@@ -131,6 +160,8 @@
     Entry.BeyondGuarantee =
         Used != Use.end() && Used->second > guaranteeOf(View, Entry.Workspace);
     Entry.LostWork = lostWork(*Of, View.Now);
+    const TimeLeft Left = timeLeft(View, *Of);
+    Entry.LeftMs = Left.Ms;
     Entry.Stopping = Of->Done || hasEnded(Of->Owner->Phase);
     for (const Member &At : Of->Members) {
       if (!At.occupies())
@@ -140,9 +171,14 @@
       if (Room != IndexOf.end())
         Entry.Rooms.push_back(Room->second);
     }
-    if (Entry.Stopping)
-      for (const std::size_t Room : Entry.Rooms)
+    // A stop would not free its room any sooner.
+    Entry.EndsSoon = Left.ByProgress && Left.Ms <= View.StopTime.Ms;
+    for (const std::size_t Room : Entry.Rooms) {
+      if (Entry.Stopping)
         Rooms[Room].Soon = Rooms[Room].Soon + Entry.Each;
+      if (Entry.Stopping || Entry.EndsSoon)
+        Rooms[Room].Likely = Rooms[Room].Likely + Entry.Each;
+    }
     Placed.push_back(std::move(Entry));
   }
   return Placed;
@@ -159,6 +195,7 @@
   Entry.Step = &Of.spec();
   Entry.TaskCount = Of.TaskCount;
   Entry.Avoided = &Of.FailedOn;
+  Entry.Patient = View.Now - Of.ReadySince < View.ReclaimAfter;
   Entry.LastAttempt = Of.Failures > 0 && !Of.spec().LongRunning &&
                       Of.Failures + 1 >= Owner.Submission.Terms.MaxAttempts;
   const auto Used = Use.find(Entry.Workspace);
@@ -177,6 +214,20 @@
   return Entry;
 }
 
+/// Tells the placement what earlier rounds reserved, as long as that is recent.
+void keepReserved(const PlanningView &View, std::span<Unit *const> Units,
+                  std::span<WaitingUnit> Waiting, std::span<WorkerRoom> Rooms) {
+  for (std::size_t Index = 0; Index < Units.size(); ++Index) {
+    const Unit &Of = *Units[Index];
+    if (Of.ReservedOn.empty() || View.Now - Of.ReservedAt > ReservationLasts)
+      continue;
+    Waiting[Index].ReservedOn = Of.ReservedOn;
+    for (WorkerRoom &Room : Rooms)
+      if (std::ranges::find(Of.ReservedOn, Room.Id) != Of.ReservedOn.end())
+        Room.KeptFor = Waiting[Index].Group;
+  }
+}
+
 std::vector<Unit *> rankedWaiting(const PlanningView &View) {
   struct Ranked {
     QueueRank Rank;
@@ -294,7 +345,13 @@
     Waiting.back().Group =
         Groups.try_emplace(Step, Groups.size()).first->second;
   }
+  keepReserved(View, Units, Waiting, Rooms);
   const PlacementPlan Plan = planPlacement(Rooms, Waiting, Placed);
+  for (const PlannedReservation &Entry : Plan.Reservations) {
+    Result.Reservations.push_back({Units[Entry.Waiting], {}});
+    for (const std::size_t Room : Entry.Rooms)
+      Result.Reservations.back().Workers.push_back(Rooms[Room].Id);
+  }
   for (const PlannedStart &Start : Plan.Starts) {
     UnitPlacement Entry{Units[Start.Unit], {}};
     for (const std::size_t Room : Start.Rooms)
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -306,6 +306,7 @@
   ++Of.Run;
   Of.Begun = false;
   Of.OverSince = {};
+  Of.ReservedOn.clear();
   Of.PlacedAt = Now;
   Of.Members.clear();
   for (const PlaceRecord &Place : Places)
@@ -328,7 +329,6 @@
 }
 
 void JobTable::preempt(Unit &Of, Instant Now, std::string_view Reason) {
-  ++Of.Preemptions;
   this->stopMembers(Of, Now, Reason);
 }
 
@@ -353,6 +353,17 @@
   this->settle(Of, Now);
 }
 
+void JobTable::reserve(Unit &Of, std::span<const std::string> Workers,
+                       Instant Now) {
+  if (std::ranges::equal(Of.ReservedOn, Workers))
+    return;
+  Of.ReservedOn.assign(Workers.begin(), Workers.end());
+  Of.ReservedAt = Now;
+  this->note(TableEvent::Kind::Reserved, Of.name(), Workers.front(), Of.Run,
+             std::to_string(Workers.size()) + " workers",
+             (Now - Of.ReadySince).Ms);
+}
+
 bool JobTable::markSent(const MemberRef &Ref, std::int64_t Run, Instant Now) {
   if (Ref.Of->Run != Run || Ref.Index >= Ref.Of->Members.size())
     return false;
@@ -526,6 +537,8 @@
 void JobTable::watchProgress(Unit &Of, std::size_t Index,
                              const RunningTask &Task, Instant Now) {
   Member &Entry = Of.Members[Index];
+  Entry.ProgressPercent = Task.ProgressPercent;
+  Entry.ReportedAt = Now;
   // Work on a gang begins once all of its members are there.
   Of.Begun = Of.Begun || Task.ProgressPercent > 0;
   const bool Idle = Task.CpuMilli == 0 && Of.spec().Each.MilliCores > 0 &&
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -7,13 +7,17 @@
 #include <optional>
 #include <utility>
 
+#include "pistachioflow/sched/reservation.hpp"
+
 namespace pistachioflow {
 
 namespace {
 
 constexpr std::int64_t NoLimit = std::numeric_limits<std::int64_t>::max() / 4;
 
-constexpr std::size_t NoGroup = std::numeric_limits<std::size_t>::max();
+/// Reservations take at most this part of the workers.
+constexpr std::size_t MostReservedPercent = 40;
+constexpr std::size_t WholePercent = 100;
 
 using Rooms = std::span<WorkerRoom>;
 using Choice = std::vector<std::size_t>;
@@ -26,18 +30,14 @@
 }
 
 bool eligible(const WorkerRoom &Room, const WaitingUnit &Unit) {
-  if (!Room.Usable || Room.Service != Unit.Service)
-    return false;
-  if (Room.OnProbation && (Unit.LastAttempt || Unit.TaskCount > 1))
-    return false;
-  const std::string &Label = Unit.Step->RequiredLabel;
-  return Label.empty() ||
-         std::ranges::find(Room.Labels, Label) != Room.Labels.end();
+  return !Room.Reserved && mayHost(Room, Unit);
 }
 
 bool avoided(const WorkerRoom &Room, const WaitingUnit &Unit) {
   if (Unit.LastAttempt && !Room.Proven)
     return true;
+  if (Room.KeptFor != NoGroup && Room.KeptFor != Unit.Group)
+    return true;
   return Room.Doubted || (Unit.Avoided && Unit.Avoided->contains(Room.Id));
 }
 
@@ -164,6 +164,7 @@
   for (const std::size_t Index : Chosen) {
     List[Index].Free = List[Index].Free - Each;
     List[Index].Soon = List[Index].Soon - Each;
+    List[Index].Likely = List[Index].Likely - Each;
     // One start shows whether it can be trusted.
     List[Index].Usable = List[Index].Usable && !List[Index].OnProbation;
   }
@@ -201,7 +202,7 @@
     Eviction Made;
     std::vector<Demand> Available;
     for (const WorkerRoom &Room : this->List)
-      Available.push_back(Room.Soon);
+      Available.push_back(this->Unit.Patient ? Room.Likely : Room.Soon);
     std::vector<std::int64_t> Hosted(this->List.size(), 0);
     while (static_cast<std::int64_t>(Made.Chosen.size()) < this->Unit.TaskCount)
       if (!this->hostOne(Rack, Available, Hosted, Made))
@@ -218,6 +219,8 @@
   };
 
   bool mayEvict(const PlacedUnit &Other) const {
+    if (this->Unit.Patient && Other.EndsSoon)
+      return false;
     if (Other.Priority > this->Unit.Priority)
       return true;
     return Other.Priority == this->Unit.Priority && this->Unit.MayReclaim &&
@@ -354,11 +357,52 @@
       take(this->List, *Later, Each);
       return false;
     }
+    if (Unit.Patient) {
+      const auto Wait = choose(this->List, Unit, Racks, &WorkerRoom::Likely);
+      if (Wait) {
+        take(this->List, *Wait, Each);
+        return false;
+      }
+    }
     if (Unit.Priority == 0)
       this->evictFor(Index, Racks);
+    else if (Unit.TaskCount > 1)
+      this->reserveFor(Index, Racks);
     return false;
   }
 
+  void reserveFor(std::size_t Index, std::span<const std::string> Racks) {
+    const WaitingUnit &Unit = this->Waiting[Index];
+    std::optional<Choice> Chosen = this->earlierReservation(Unit);
+    if (!Chosen)
+      Chosen = planReservation(this->List, Unit, this->Placed, Racks);
+    if (!Chosen)
+      return;
+    std::vector<std::size_t> Rooms = *Chosen;
+    std::ranges::sort(Rooms);
+    Rooms.erase(std::unique(Rooms.begin(), Rooms.end()), Rooms.end());
+    const std::size_t Most =
+        this->List.size() * MostReservedPercent / WholePercent;
+    if (this->ReservedRooms + Rooms.size() > Most)
+      return;
+    this->ReservedRooms += Rooms.size();
+    for (const std::size_t Room : Rooms)
+      this->List[Room].Reserved = true;
+    this->Plan.Reservations.push_back({Index, std::move(Rooms)});
+  }
+
+  /// Rooms that drain already, as long as each may be used.
+  std::optional<Choice> earlierReservation(const WaitingUnit &Unit) const {
+    Choice Chosen;
+    for (const std::string &Id : Unit.ReservedOn) {
+      const auto Room = std::ranges::find(this->List, Id, &WorkerRoom::Id);
+      if (Room == this->List.end() || !eligible(*Room, Unit))
+        return std::nullopt;
+      Chosen.push_back(static_cast<std::size_t>(Room - this->List.begin()));
+    }
+    return Chosen.empty() ? std::nullopt : std::optional(Chosen);
+  }
+
   /// Units behind this one of the same group see where it went.
   void countInGroup(std::size_t Index, const Choice &Chosen) {
     const WaitingUnit &Unit = this->Waiting[Index];
@@ -370,6 +414,11 @@
           this->Waiting[Next].GroupOn.push_back(this->List[Room].Id);
   }
 
+  static void freeLater(WorkerRoom &Room, const Demand &Each) {
+    Room.Soon = Room.Soon + Each;
+    Room.Likely = Room.Likely + Each;
+  }
+
   void evictFor(std::size_t Index, std::span<const std::string> Racks) {
     const WaitingUnit &Unit = this->Waiting[Index];
     const EvictionPlanner Planner(
@@ -382,8 +431,7 @@
       this->Stopping[Victim] = true;
       this->Plan.Preempted.push_back({Victim, Index});
       for (const std::size_t Room : this->Placed[Victim].Rooms)
-        this->List[Room].Soon =
-            this->List[Room].Soon + this->Placed[Victim].Each;
+        this->freeLater(this->List[Room], this->Placed[Victim].Each);
     }
     take(this->List, Made->Chosen, countedDemand(*Unit.Step));
   }
@@ -393,11 +441,22 @@
   std::span<const PlacedUnit> Placed;
   std::unique_ptr<bool[]> Stopping;
   std::size_t BlockedGroup = NoGroup;
+  std::size_t ReservedRooms = 0;
   PlacementPlan Plan;
 };
 
 } // namespace
 
+bool mayHost(const WorkerRoom &Room, const WaitingUnit &Unit) {
+  if (!Room.Usable || Room.Service != Unit.Service)
+    return false;
+  if (Room.OnProbation && (Unit.LastAttempt || Unit.TaskCount > 1))
+    return false;
+  const std::string &Label = Unit.Step->RequiredLabel;
+  return Label.empty() ||
+         std::ranges::find(Room.Labels, Label) != Room.Labels.end();
+}
+
 std::int64_t fittingTasks(const Demand &Room, const Demand &Each) {
   std::int64_t Tasks = NoLimit;
   const auto Bound = [&Tasks](std::int64_t Have, std::int64_t Need) {
--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -23,6 +23,7 @@
     Room.Capacity = WholeWorker;
     Room.Free = WholeWorker;
     Room.Soon = WholeWorker;
+    Room.Likely = WholeWorker;
     Rooms.push_back(std::move(Room));
   }
   return Rooms;
@@ -59,6 +60,7 @@
   for (const std::size_t Room : On) {
     Rooms[Room].Free = {};
     Rooms[Room].Soon = {};
+    Rooms[Room].Likely = {};
   }
   Placed.Rooms = std::move(On);
   return Placed;
@@ -217,4 +219,50 @@
   REQUIRE(Plan.Preempted.front().Placed == 1);
 }
 
+TEST_CASE("small tasks leave the workers alone that drain for a large gang") {
+  // A stream of small tasks takes each accelerator that becomes free, and a
+  // gang that needs whole workers never starts.
+  std::vector<WorkerRoom> Rooms = makeRooms(8, 2);
+  std::vector<PlacedUnit> Placed;
+  for (std::size_t Index = 0; Index < Rooms.size(); ++Index) {
+    Placed.push_back(fillRooms(Rooms, {Index}, 2, 10));
+    Placed.back().Each = {8'000, 100, 7};
+    Placed.back().LeftMs = Index / 2 == 2 ? 900 : 4'000;
+    Rooms[Index].Free = Rooms[Index].Soon = {8'000, 100, 1};
+  }
+  const StepSpec Wide = makeStep(2, {1'000, 100, 8}, true, true);
+  const StepSpec Small = makeStep(1, {1'000, 100, 1}, false, false);
+  std::vector<WaitingUnit> Waiting{makeUnit(Wide, 1)};
+  for (std::size_t Count = 0; Count < 8; ++Count)
+    Waiting.push_back(makeUnit(Small, 2));
+  for (std::size_t Index = 0; Index < Waiting.size(); ++Index)
+    Waiting[Index].Group = Index;
+  const PlacementPlan Plan = planPlacement(Rooms, Waiting, Placed);
+  REQUIRE(Plan.Reservations.size() == 1);
+  REQUIRE(Plan.Reservations.front().Rooms == std::vector<std::size_t>{4, 5});
+  REQUIRE(Plan.Starts.size() == 6);
+  for (const PlannedStart &Start : Plan.Starts)
+    REQUIRE(Start.Rooms.front() / 2 != 2);
+}
+
+TEST_CASE("urgent work waits for what ends as soon as a stop would end it") {
+  struct Row {
+    const char *Why;
+    bool Patient;
+    std::size_t Evicted;
+  };
+  const auto Case = GENERATE(Row{"it ends by itself", true, 0},
+                             Row{"it should have ended", false, 1});
+  CAPTURE(Case.Why);
+  std::vector<WorkerRoom> Rooms = makeRooms(2, 2);
+  const std::vector<PlacedUnit> Placed{fillRooms(Rooms, {0}, 2, 50),
+                                       fillRooms(Rooms, {1}, 2, 900)};
+  Rooms[1].Likely = WholeWorker;
+  const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
+  WaitingUnit Unit = makeUnit(Step, 0);
+  Unit.Patient = Case.Patient;
+  const PlacementPlan Plan = planPlacement(Rooms, {&Unit, 1}, Placed);
+  REQUIRE(Plan.Preempted.size() == Case.Evicted);
+}
+
 } // namespace pistachioflow
