Look at silent workers until they answer; let probation end by itself

Besides, workers on probation waited for a single task to try them while only gangs waited.

Change: needsLook() keeps looking at a silent worker that is listed; probation ends 1.5 s after the bar.

--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -41,6 +41,15 @@
   }
 };
 
+/// Whether the owner has to look at a worker: it is not known well enough, or
+/// has something to tell. A silent one is looked at until it answers, since
+/// nothing is placed on it before.
+inline bool needsLook(const WorkerLink &Worker, bool Occupied) {
+  return !Worker.Synced || Worker.CatchingUp || Occupied ||
+         Worker.SilentSince.Ms != 0 ||
+         Worker.EndsRecorded > Worker.EndsAcknowledged;
+}
+
 /// Returns the rack among a worker's labels: the last one, after its kind.
 inline std::string rackOf(const WorkerEntry &Entry) {
   return Entry.Labels.empty() ? std::string() : Entry.Labels.back();
--- a/include/pistachioflow/sched/worker_trust.hpp
+++ b/include/pistachioflow/sched/worker_trust.hpp
@@ -24,8 +24,6 @@
   Instant LastStrike; ///< Newest early failure or refusal.
   Instant BarredUntil;
   Instant ProvenAt; ///< When a run last lived on it beyond EarlyFailure.
-  /// Barred lately and not proven since: one start at a time.
-  bool OnProbation = false;
 };
 
 /// A run of \p JobId failed early. Thread safety: pure but for \p Trust, as are
@@ -44,6 +42,11 @@
 /// Whether nothing may be started on the worker now.
 bool isBarred(const WorkerTrust &Trust, Instant Now);
 
+/// Whether the worker was barred until lately and is not proven since: it gets
+/// one start at a time, and no gang. Ends by itself, as nothing but gangs may
+/// be waiting.
+bool isOnProbation(const WorkerTrust &Trust, Instant Now);
+
 /// Whether a run has lately shown that the worker runs what it starts.
 bool isProven(const WorkerTrust &Trust, Instant Now);
 
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -554,10 +554,8 @@
 }
 
 void Dispatcher::ensureHolding(const Held &Of, const Link &Worker) {
-  const bool Needed = !Worker->Synced || Worker->CatchingUp ||
-                      Worker->EndsRecorded > Worker->EndsAcknowledged ||
-                      !Of->Table.membersOn(Worker->Id).empty();
-  if (Worker->Looping || !Needed)
+  const bool Occupied = !Of->Table.membersOn(Worker->Id).empty();
+  if (Worker->Looping || !needsLook(*Worker, Occupied))
     return;
   Worker->Looping = true;
   spawnTask(this->Io, "hold_loop", this->holdLoop(Of, Worker));
@@ -566,9 +564,7 @@
 asio::awaitable<void> Dispatcher::holdLoop(Held Of, Link Worker) {
   while (Of->Active) {
     const bool Occupied = !Of->Table.membersOn(Worker->Id).empty();
-    const bool Needed = !Worker->Synced || Worker->CatchingUp || Occupied ||
-                        Worker->EndsRecorded > Worker->EndsAcknowledged;
-    if (!Needed || (!Worker->Listed && !Occupied))
+    if (!needsLook(*Worker, Occupied) || (!Worker->Listed && !Occupied))
       break;
     if (!Worker->Client) {
       this->holdFailed(Of, Worker, OrderOutcome::Unreachable);
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -46,7 +46,7 @@
                   Link->SilentSince.Ms == 0 && !isBarred(Link->Trust, View.Now);
     Room.Doubted = Link->DoubtedUntil > View.Now;
     Room.Proven = isProven(Link->Trust, View.Now);
-    Room.OnProbation = Link->Trust.OnProbation;
+    Room.OnProbation = isOnProbation(Link->Trust, View.Now);
     if (Room.OnProbation)
       Room.Usable = Room.Usable && !hasNewRun(View, *Link);
     Rooms.push_back(std::move(Room));
--- a/src/pistachioflow/sched/worker_trust.cpp
+++ b/src/pistachioflow/sched/worker_trust.cpp
@@ -13,12 +13,13 @@
 constexpr Duration RefusalBar{300};
 /// Longer bars would keep a worker out for long after it has recovered.
 constexpr Duration LongestBar{6'000};
+/// Longer than a task takes to show whether it lives.
+constexpr Duration ProbationLasts{1'500};
 /// Workers turn bad at any time: older proof counts for little.
 constexpr Duration ProofLasts{2'500};
 
 void bar(WorkerTrust &Trust, Duration Span, Instant Now) {
   Trust.LastStrike = Now;
-  Trust.OnProbation = true;
   Trust.BarredUntil =
       std::max(Trust.BarredUntil, Now + std::min(Span, LongestBar));
 }
@@ -56,6 +57,10 @@
   return Now < Trust.BarredUntil;
 }
 
+bool isOnProbation(const WorkerTrust &Trust, Instant Now) {
+  return Trust.LastStrike.Ms != 0 && Now < Trust.BarredUntil + ProbationLasts;
+}
+
 bool isProven(const WorkerTrust &Trust, Instant Now) {
   return Trust.ProvenAt.Ms != 0 && Now - Trust.ProvenAt <= ProofLasts;
 }
