Stop runs on draining workers in time, by their progress

Cause: the time that a draining worker had left was compared as first announced, while it passed; runs that were expected to end in time and did not were lost with their worker, and their places kept for a lease.

Change: the moment at which the worker may leave is remembered, and compared with the time left by the run's progress.

--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -92,6 +92,21 @@
   std::vector<Unit *> GivenUp; ///< No worker is left for one of the members.
 };
 
+/// Until a run probably ends.
+struct TimeLeft {
+  Duration Span;
+  bool ByProgress = false; ///< Else by what such runs take.
+};
+
+/// Predicts the end of a placed unit from the progress that its workers report.
+TimeLeft timeLeft(const PlanningView &View, const Unit &Of);
+
+/// Whether a run has to leave a draining worker: it would probably not end in
+/// time. What is stopped in time keeps its checkpoint and waits for no lease.
+inline bool mustLeave(Instant LeavesAt, const TimeLeft &Run, Instant Now) {
+  return Run.Span > LeavesAt - Now;
+}
+
 /// Finds other workers for refused members, so that the members of their gangs
 /// that have started need not stop. Answers bursts of gangs while some workers
 /// shed load. Changes nothing. Thread safety: none.
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -282,6 +282,10 @@
   if (Entry->Draining && !Worker->Entry.Draining)
     logEvent(LogLevel::Info, "worker_draining",
              {{"worker", Record.Key}, {"remaining_ms", Entry->RemainingMs}});
+  // The entry was written a little before it was read.
+  if (Entry->Draining && !Worker->Entry.Draining)
+    Worker->LeavesAt =
+        this->Time.monotonic() + Duration{Entry->RemainingMs} - WorkerListPace;
   Worker->Entry = std::move(*Entry);
   Worker->Listed = true;
   this->ensureHolding(this->Current, Worker);
@@ -361,10 +365,8 @@
                               !Ref.Of->Done && !Ref.member().StopWanted;
       if (!StillThere)
         continue;
-      const std::int64_t ExpectedMs = this->Durations.expectedMs(
-          Ref.Of->Owner->Submission.Queue, Ref.Of->spec().EstimatedMs);
-      const std::int64_t LeftMs = ExpectedMs - (Now - Ref.Of->PlacedAt).Ms;
-      if (LeftMs > Worker->Entry.RemainingMs)
+      const TimeLeft Run = timeLeft(this->viewOf(Of, Now), *Ref.Of);
+      if (mustLeave(Worker->LeavesAt, Run, Now))
         Of.Table.preempt(*Ref.Of, Now, "worker_drains");
     }
   }
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -115,32 +115,6 @@
   return Cores * Seconds * static_cast<double>(Of.TaskCount);
 }
 
-/// Until a run probably ends.
-struct TimeLeft {
-  std::int64_t Ms = 0;
-  bool ByProgress = false; ///< Else by what such runs take.
-};
-
-TimeLeft timeLeft(const PlanningView &View, const Unit &Of) {
-  constexpr std::int64_t TellingPercent = 5;
-  constexpr std::int64_t Whole = 100;
-  constexpr std::int64_t ShortestMs = 100;
-  constexpr std::int64_t OverdueMs = 300; ///< It has slowed down since.
-  const std::int64_t RunMs = (View.Now - Of.PlacedAt).Ms;
-  const std::int64_t Expected = View.Durations.expectedMs(
-      Of.Owner->Submission.Queue, Of.spec().EstimatedMs);
-  std::int64_t ByProgress = 0;
-  for (const Member &At : Of.Members) {
-    if (At.ProgressPercent < TellingPercent)
-      return {std::max(Expected - RunMs, ShortestMs), false};
-    const std::int64_t TookMs = (At.ReportedAt - Of.PlacedAt).Ms;
-    const std::int64_t AtReport =
-        TookMs * (Whole - At.ProgressPercent) / At.ProgressPercent;
-    ByProgress = std::max(ByProgress, AtReport - (View.Now - At.ReportedAt).Ms);
-  }
-  return {std::max(ByProgress, ShortestMs), ByProgress > -OverdueMs};
-}
-
 std::vector<PlacedUnit> collectPlaced(const PlanningView &View,
                                       std::span<Unit *const> Active,
                                       std::vector<WorkerRoom> &Rooms,
@@ -161,7 +135,7 @@
         Used != Use.end() && Used->second > guaranteeOf(View, Entry.Workspace);
     Entry.LostWork = lostWork(*Of, View.Now);
     const TimeLeft Left = timeLeft(View, *Of);
-    Entry.LeftMs = Left.Ms;
+    Entry.LeftMs = Left.Span.Ms;
     Entry.Stopping = Of->Done || hasEnded(Of->Owner->Phase);
     for (const Member &At : Of->Members) {
       if (!At.occupies())
@@ -172,7 +146,7 @@
         Entry.Rooms.push_back(Room->second);
     }
     // A stop would not free its room any sooner.
-    Entry.EndsSoon = Left.ByProgress && Left.Ms <= View.StopTime.Ms;
+    Entry.EndsSoon = Left.ByProgress && Left.Span <= View.StopTime;
     for (const std::size_t Room : Entry.Rooms) {
       if (Entry.Stopping)
         Rooms[Room].Soon = Rooms[Room].Soon + Entry.Each;
@@ -295,6 +269,26 @@
   return Queue ? Queue->Terms : Of.Submission.Terms;
 }
 
+TimeLeft timeLeft(const PlanningView &View, const Unit &Of) {
+  constexpr std::int64_t TellingPercent = 5;
+  constexpr std::int64_t Whole = 100;
+  constexpr std::int64_t ShortestMs = 100;
+  constexpr std::int64_t OverdueMs = 300; ///< It has slowed down since.
+  const std::int64_t RunMs = (View.Now - Of.PlacedAt).Ms;
+  const std::int64_t Expected = View.Durations.expectedMs(
+      Of.Owner->Submission.Queue, Of.spec().EstimatedMs);
+  std::int64_t ByProgress = 0;
+  for (const Member &At : Of.Members) {
+    if (At.ProgressPercent < TellingPercent)
+      return {{std::max(Expected - RunMs, ShortestMs)}, false};
+    const std::int64_t TookMs = (At.ReportedAt - Of.PlacedAt).Ms;
+    const std::int64_t AtReport =
+        TookMs * (Whole - At.ProgressPercent) / At.ProgressPercent;
+    ByProgress = std::max(ByProgress, AtReport - (View.Now - At.ReportedAt).Ms);
+  }
+  return {{std::max(ByProgress, ShortestMs)}, ByProgress > -OverdueMs};
+}
+
 MovePlan planMoves(const PlanningView &View) {
   MovePlan Plan;
   std::vector<WorkerRoom> Rooms;
