Keep the workers of urgent work for the next urgent gang

The stop costs the gang up to the stop's time, and the work.

Change: single tasks of lower priority leave a worker alone for 1 s after urgent work ran on it, as long as at most half of the workers are kept.

--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -65,6 +65,7 @@
   void sendStops(const Held &Of);
   void moveFromDraining(Tenure &Of);
   void moveRefused(Tenure &Of);
+  void keepForUrgent(Tenure &Of);
   void noteSurvivors(Tenure &Of);
   void logEvents(Tenure &Of);
   void ensureHolding(const Held &Of, const Link &Worker);
--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -28,6 +28,7 @@
   std::int64_t ClockOffsetMs = 0; ///< Its clock less this process's.
   Instant LeaseEnds;   ///< Nothing runs there after this without a renewal.
   Instant SilentSince; ///< 0 while it answers.
+  Instant UrgentUntil; ///< Small tasks leave it to urgent work until then.
   Instant LeavesAt;    ///< While it drains: not before this.
   std::int64_t EndsSeen = 0;         ///< Highest end that was applied.
   std::int64_t EndsRecorded = 0;     ///< Highest end whose records are stored.
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -32,6 +32,9 @@
   bool Proven = true; ///< A run has lately lived on it.
   /// Takes one task that may fail, and no gang, until it is trusted again.
   bool OnProbation = false;
+  /// Urgent work runs on it, or did a moment ago. Single tasks of lower
+  /// priority go elsewhere, as long as at most half of the workers are kept.
+  bool KeptForUrgent = false;
   /// The group that an earlier round reserved it for; others prefer other
   /// rooms.
   std::size_t KeptFor = NoGroup;
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -45,6 +45,9 @@
 /// Workers' entries change every heartbeat; reading them together saves calls.
 constexpr Duration WorkerListPace{200};
 constexpr WritePatience OwnerPatience{{3'600'000}, {3'600'000}};
+/// About the time between two urgent gangs under load. What is kept for longer
+/// stands idle; what is not kept has to be emptied for the next one.
+constexpr Duration KeptForUrgent{1'000};
 /// For the start itself, within the time in which guaranteed work must start.
 constexpr Duration ReclaimMargin{1'000};
 /// Ended jobs are kept this much longer than callers may ask for them.
@@ -308,6 +311,7 @@
   Of->Table.unlock(this->Time.monotonic(), this->Time.wall().Ms);
   this->moveFromDraining(*Of);
   this->moveRefused(*Of);
+  this->keepForUrgent(*Of);
   this->place(*Of);
   this->sendStops(Of);
   this->logEvents(*Of);
@@ -341,6 +345,19 @@
     Of.Table.preempt(*Entry.Victim, Now, "for " + Entry.For->name());
 }
 
+/// Remembers where urgent work runs: the next urgent gang comes soon.
+void Dispatcher::keepForUrgent(Tenure &Of) {
+  const Instant Until = this->Time.monotonic() + KeptForUrgent;
+  for (const Unit *Entry : Of.Table.active()) {
+    if (termsOf(this->Desired, *Entry->Owner).Priority != 0)
+      continue;
+    for (const Member &At : Entry->Members)
+      if (const auto Worker = Of.Workers.find(At.Worker);
+          At.occupies() && Worker != Of.Workers.end())
+        Worker->second->UrgentUntil = Until;
+  }
+}
+
 void Dispatcher::moveRefused(Tenure &Of) {
   const Instant Now = this->Time.monotonic();
   const MovePlan Plan = planMoves(this->viewOf(Of, Now));
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -45,6 +45,7 @@
     Room.Usable = Link->Listed && Link->Synced && !Link->Entry.Draining &&
                   Link->SilentSince.Ms == 0 && !isBarred(Link->Trust, View.Now);
     Room.Doubted = Link->DoubtedUntil > View.Now;
+    Room.KeptForUrgent = Link->UrgentUntil > View.Now;
     Room.Proven = isProven(Link->Trust, View.Now);
     Room.OnProbation = isOnProbation(Link->Trust, View.Now);
     if (Room.OnProbation)
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -30,6 +30,9 @@
 }
 
 bool eligible(const WorkerRoom &Room, const WaitingUnit &Unit) {
+  const bool SmallAndPatient = Unit.Priority > 0 && Unit.TaskCount == 1;
+  if (Room.KeptForUrgent && SmallAndPatient)
+    return false;
   return !Room.Reserved && mayHost(Room, Unit);
 }
 
@@ -500,9 +503,23 @@
   return std::nullopt;
 }
 
+namespace {
+
+/// Gives up keeping workers where that would leave too few for other work.
+void limitKept(Rooms List) {
+  const auto Kept = std::ranges::count_if(List, &WorkerRoom::KeptForUrgent);
+  if (static_cast<std::size_t>(Kept) * 2 <= List.size())
+    return;
+  for (WorkerRoom &Room : List)
+    Room.KeptForUrgent = false;
+}
+
+} // namespace
+
 PlacementPlan planPlacement(std::span<WorkerRoom> Rooms,
                             std::span<const WaitingUnit> Waiting,
                             std::span<const PlacedUnit> Placed) {
+  limitKept(Rooms);
   return Round(Rooms, Waiting, Placed).run();
 }
 
--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -265,4 +265,28 @@
   REQUIRE(Plan.Preempted.size() == Case.Evicted);
 }
 
+TEST_CASE("single tasks leave workers to the next urgent gang") {
+  // Urgent gangs come in a burst into a full cluster: small tasks that took
+  // each place in between were stopped for the next gang.
+  struct Row {
+    const char *Why;
+    std::size_t Kept;
+    std::int64_t Priority;
+    bool Gang;
+    std::size_t Starts;
+  };
+  const auto Case = GENERATE(Row{"small work goes elsewhere", 2, 2, false, 2},
+                             Row{"too few would be left", 3, 2, false, 4},
+                             Row{"urgent work takes them", 2, 0, false, 4},
+                             Row{"so do gangs", 2, 1, true, 2});
+  CAPTURE(Case.Why);
+  std::vector<WorkerRoom> Rooms = makeRooms(4, 2);
+  for (std::size_t Index = 0; Index < Case.Kept; ++Index)
+    Rooms[Index].KeptForUrgent = true;
+  const StepSpec Step =
+      makeStep(Case.Gang ? 2 : 1, {1'000, 100, 8}, Case.Gang, false);
+  const std::vector<WaitingUnit> Waiting(4, makeUnit(Step, Case.Priority));
+  REQUIRE(planPlacement(Rooms, Waiting, {}).Starts.size() == Case.Starts);
+}
+
 } // namespace pistachioflow
