Split the dispatcher, the job table and the placement by what they do

Change: calls to workers, reports of workers, records of the table and the room of a worker stand in files of their own; nothing else changes.

--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -75,6 +75,8 @@
 
   const StepSpec &spec() const;
   bool isGang() const;
+  /// Whether every member was confirmed and none has ended.
+  bool allRunning() const;
   /// ID.K.STEP of a gang, ID.K.STEP.INDEX of a task.
   std::string name() const;
   std::string taskName(std::size_t MemberIndex) const;
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -13,6 +13,10 @@
 
 namespace pistachioflow {
 
+/// Stands for any number of tasks.
+inline constexpr std::int64_t NoLimit =
+    std::numeric_limits<std::int64_t>::max() / 4;
+
 /// Marks the absence of a group of units.
 inline constexpr std::size_t NoGroup = std::numeric_limits<std::size_t>::max();
 
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr std::int64_t NoLimit = std::numeric_limits<std::int64_t>::max() / 4;
-
 /// Reservations take at most this part of the workers.
 constexpr std::size_t MostReservedPercent = 40;
 constexpr std::size_t WholePercent = 100;
@@ -450,42 +448,6 @@
 
 } // namespace
 
-bool mayHost(const WorkerRoom &Room, const WaitingUnit &Unit) {
-  if (!Room.Usable || Room.Service != Unit.Service)
-    return false;
-  if (Room.OnProbation && (Unit.LastAttempt || Unit.TaskCount > 1))
-    return false;
-  const std::string &Label = Unit.Step->RequiredLabel;
-  return Label.empty() ||
-         std::ranges::find(Room.Labels, Label) != Room.Labels.end();
-}
-
-std::int64_t fittingTasks(const Demand &Room, const Demand &Each) {
-  std::int64_t Tasks = NoLimit;
-  const auto Bound = [&Tasks](std::int64_t Have, std::int64_t Need) {
-    if (Need > 0)
-      Tasks = std::min(Tasks, std::max<std::int64_t>(Have, 0) / Need);
-  };
-  Bound(Room.MilliCores, Each.MilliCores);
-  Bound(Room.MemoryMb, Each.MemoryMb);
-  Bound(Room.Accelerators, Each.Accelerators);
-  return Tasks;
-}
-
-Demand operator+(Demand Left, const Demand &Right) {
-  Left.MilliCores += Right.MilliCores;
-  Left.MemoryMb += Right.MemoryMb;
-  Left.Accelerators += Right.Accelerators;
-  return Left;
-}
-
-Demand operator-(Demand Left, const Demand &Right) {
-  Left.MilliCores -= Right.MilliCores;
-  Left.MemoryMb -= Right.MemoryMb;
-  Left.Accelerators -= Right.Accelerators;
-  return Left;
-}
-
 std::optional<std::size_t>
 planReplacement(std::span<WorkerRoom> Rooms, const WaitingUnit &Gang,
                 std::span<const std::string> OtherRacks) {
