--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -179,7 +179,7 @@
   Job &Owner = *Of.Owner;
   Occurrence &In = Owner.Occurrences.at(Of.Occurrence);
   StepState &Step = In.Steps[Of.Step];
-  if (++Step.DoneUnits < Step.Units.size())
+  if (++Step.DoneUnits < Step.Units.size() || hasEnded(Owner.Phase))
     return;
   if (++In.DoneSteps < In.Steps.size()) {
     this->unlockSteps(Owner, In, Now);
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -100,6 +100,18 @@
   REQUIRE(Of.phase() == JobPhase::Completed);
 }
 
+TEST_CASE("a cancelled job opens no further step") {
+  // The last task of a step may end as done after the cancellation.
+  StepSpec Second = makeStep(1, false);
+  Second.After = {0};
+  Driver Of({makeStep(1, false), Second});
+  REQUIRE(Of.startAll() == 1);
+  Of.Table.addCancellation(JobId, 1'500, Of.Now);
+  Of.end("w0", Of.task(0, 0), 1, RunEnd::Done);
+  REQUIRE(Of.startAll() == 0);
+  REQUIRE(Of.phase() == JobPhase::Cancelled);
+}
+
 TEST_CASE("only failures count as attempts, one for each run") {
   struct Row {
     RunEnd First;
