Probe the store while appends fail, so that submissions resume

Rejections of the store (fenced, wrong sequence) counted as failures of it too. Change: after a failed append the writer appends nothing, under a producer of its own, every 250 ms until the store answers; a failed read starts the same check, so that no caller pays for finding out. Only missing and refused answers count as failing. A follower that fails reads without a wait, so that a hung read ends sooner. Test: tests/platform/store_outage_test.cpp, refused and unanswered, for the writer, the follower and both; without the probes its rows end at the limit.

--- a/include/pistachioflow/entry/journal_writer.hpp
+++ b/include/pistachioflow/entry/journal_writer.hpp
@@ -34,6 +34,10 @@
 /// An append without an answer is repeated with the same sequence number until
 /// it is answered, so that its records are appended once and in order.
 ///
+/// After a failed append, or when asked to check, the writer probes the store
+/// until it answers. So the beginning and the end of an outage show without a
+/// write of a caller.
+///
 /// Thread safety: none; use from the thread that runs the io_context. Create it
 /// with std::make_shared: it keeps itself alive until its last append is
 /// answered.
@@ -51,7 +55,12 @@
   asio::awaitable<WriteOutcome> write(std::vector<JournalRecord> Records,
                                       WriteTimeouts Timeouts);
 
-  /// Since when appends have failed; 0 when the newest one succeeded.
+  /// Finds out whether the store takes appends, because something suggests that
+  /// it does not. Does nothing shortly after an earlier check.
+  void checkStore();
+
+  /// Since when the store has not taken appends; 0 when it answered the newest
+  /// append or probe. A rejected append is an answer.
   Instant failingSince() const { return this->FailingSince; }
 
 private:
@@ -59,6 +68,10 @@
 
   void startAppendLoop();
   asio::awaitable<void> appendLoop(std::shared_ptr<JournalWriter> Self);
+  asio::awaitable<void> probeLoop(std::weak_ptr<JournalWriter> Self,
+                                  Duration FirstPause);
+  void startProbeLoop(Duration FirstPause);
+  void noteAnswer(AppendOutcome Outcome);
   std::vector<JournalRecord> nextBatch();
   void resolveBatch(WriteOutcome Outcome);
 
@@ -72,7 +85,9 @@
   std::deque<std::shared_ptr<PendingWrite>> Queue;
   std::vector<std::shared_ptr<PendingWrite>> Batch;
   Instant FailingSince;
+  Instant CheckedAt;
   bool AppendLoopRunning = false;
+  bool ProbeLoopRunning = false;
 };
 
 } // namespace pistachioflow
--- a/include/pistachioflow/entry/topic_follower.hpp
+++ b/include/pistachioflow/entry/topic_follower.hpp
@@ -18,6 +18,7 @@
   std::function<void()> Reset; ///< Discard all that was applied before.
   std::function<void(const JournalRecord &)> Apply;
   std::function<void()> CaughtUp; ///< Everything up to the end was applied.
+  std::function<void()> ReadFailed = [] {}; ///< After each failed read.
 };
 
 /// Follows one keyed topic: reads the newest record of each key, then each
@@ -47,8 +48,6 @@
   bool caughtUp() const { return this->IsCaughtUp; }
   /// When the store last answered a read.
   Instant lastContact() const { return this->LastContact; }
-  /// Since when reads have failed; 0 once one has reached the end again.
-  Instant failingSince() const { return this->FailingSince; }
   /// Offset of the next record.
   std::int64_t position() const { return this->NextOffset; }
 
@@ -66,6 +65,7 @@
   asio::awaitable<bool> load();
   asio::awaitable<void> readOnce();
   void noteReadFailure(std::string_view Reason);
+  void noteAnswer();
   void markCaughtUp();
 
   asio::io_context &Io;
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -17,8 +17,8 @@
 /// How long a request about a job that has not ended waits for the newest
 /// records.
 constexpr Duration CatchUpTimeout{150};
-/// After reads or writes of the journal have failed for this long, submits are
-/// refused at once.
+/// After the store has not taken appends for this long, submits are refused at
+/// once.
 constexpr Duration FailingLimit{300};
 /// Callers wait about 3 s in all. An early answer leaves them time to try an
 /// instance that reaches the store.
@@ -101,12 +101,8 @@
 }
 
 bool CallerApi::storeFailing() const {
-  const Instant Now = this->Time.monotonic();
-  const auto ExceedsLimit = [Now](Instant Since) {
-    return Since.Ms != 0 && Now - Since > FailingLimit;
-  };
-  return ExceedsLimit(this->Writer.failingSince()) ||
-         ExceedsLimit(this->Journal.failingSince());
+  const Instant Since = this->Writer.failingSince();
+  return Since.Ms != 0 && this->Time.monotonic() - Since > FailingLimit;
 }
 
 asio::awaitable<HttpResponse> CallerApi::submit(CallTarget Target,
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -84,7 +84,8 @@
              this->QueueDispatcher.journalReset();
            },
            [this](const JournalRecord &Record) { this->applyJournal(Record); },
-           [this] { this->QueueDispatcher.journalCaughtUp(); }},
+           [this] { this->QueueDispatcher.journalCaughtUp(); },
+           [this] { this->Writer->checkStore(); }},
           FollowerReadPause),
       Writer(std::make_shared<JournalWriter>(
           Io, Store, Time, this->Name, 1, 0,
--- a/src/pistachioflow/entry/journal_writer.cpp
+++ b/src/pistachioflow/entry/journal_writer.cpp
@@ -16,6 +16,18 @@
 constexpr Duration RetryDelay{50};
 /// Longest time between two checks of a write's timeouts.
 constexpr Duration TimeoutCheckInterval{100};
+/// A probe that hangs when an outage ends delays the next one by its timeout:
+/// both together stay under a second.
+constexpr Duration ProbeTimeout{500};
+constexpr Duration ProbeInterval{250};
+/// Shortest time between two checks while appends work, since many instances
+/// may fail to read at once.
+constexpr Duration CheckInterval{1'000};
+
+/// Whether the store processed the append, whatever it decided.
+bool isProcessed(AppendOutcome Outcome) {
+  return Outcome != AppendOutcome::Refused && Outcome != AppendOutcome::Unknown;
+}
 
 } // namespace
 
@@ -121,15 +133,13 @@
     if (Answer.Outcome == AppendOutcome::Appended) {
       entryMetrics().AppendMs.record(
           static_cast<double>((this->Time.monotonic() - SentAt).Ms));
-      this->FailingSince = {};
+      this->noteAnswer(Answer.Outcome);
       ++this->Sequence;
       this->resolveBatch(WriteOutcome::Stored);
       continue;
     }
     entryMetrics().AppendsFailed.add();
-    const Instant Now = this->Time.monotonic();
-    if (this->FailingSince.Ms == 0)
-      this->FailingSince = Now;
+    this->noteAnswer(Answer.Outcome);
     logEvent(LogLevel::Warning, "append_failed",
              {{"outcome", toString(Answer.Outcome)},
               {"epoch", this->Epoch},
@@ -145,7 +155,8 @@
     if (Answer.Outcome == AppendOutcome::WrongSequence)
       this->Sequence = Answer.ExpectedSequence;
     MaybeStored = MaybeStored || Answer.Outcome == AppendOutcome::Unknown;
-    const Duration FailingFor = Now - this->Batch.front()->SubmittedAt;
+    const Duration FailingFor =
+        this->Time.monotonic() - this->Batch.front()->SubmittedAt;
     if (!MaybeStored && FailingFor > this->Batch.front()->Timeouts.Refused) {
       this->resolveBatch(WriteOutcome::NotStored);
       continue;
@@ -155,4 +166,64 @@
   Self->AppendLoopRunning = false;
 }
 
+void JournalWriter::noteAnswer(AppendOutcome Outcome) {
+  const bool Processed = isProcessed(Outcome);
+  if (Processed && this->FailingSince.Ms != 0)
+    logEvent(LogLevel::Info, "store_writable",
+             {{"writer", this->Id},
+              {"ms", (this->Time.monotonic() - this->FailingSince).Ms}});
+  if (Processed)
+    this->FailingSince = {};
+  else if (this->FailingSince.Ms == 0)
+    this->FailingSince = this->Time.monotonic();
+  if (!Processed)
+    this->startProbeLoop(ProbeInterval);
+}
+
+void JournalWriter::checkStore() {
+  const Instant Now = this->Time.monotonic();
+  if (this->CheckedAt.Ms != 0 && Now - this->CheckedAt < CheckInterval)
+    return;
+  this->CheckedAt = Now;
+  this->startProbeLoop(Duration{0});
+}
+
+void JournalWriter::startProbeLoop(Duration FirstPause) {
+  if (this->ProbeLoopRunning)
+    return;
+  this->ProbeLoopRunning = true;
+  spawnCoroutine(this->Io, "store_probe",
+                 this->probeLoop(this->weak_from_this(), FirstPause));
+}
+
+/// Appends nothing, under a producer of its own: the sequence numbers of the
+/// writer's records stay as they are.
+asio::awaitable<void>
+JournalWriter::probeLoop(std::weak_ptr<JournalWriter> Self,
+                         Duration FirstPause) {
+  asio::io_context &Context = this->Io;
+  Duration Pause = FirstPause;
+  while (true) {
+    co_await pauseFor(Context, Pause);
+    Pause = ProbeInterval;
+    const std::shared_ptr<JournalWriter> Writer = Self.lock();
+    if (!Writer)
+      co_return;
+    // An append in progress shows the same.
+    if (Writer->AppendLoopRunning)
+      continue;
+    Producer Prober{Writer->Id + "/probe", Writer->Epoch, 0};
+    std::string Topic(JournalTopic);
+    const std::optional<std::int64_t> NoExpectedEnd;
+    const AppendAnswer Answer = co_await Writer->Store.append(
+        std::move(Topic), {}, std::move(Prober), NoExpectedEnd, ProbeTimeout);
+    entryMetrics().StoreProbes.add();
+    Writer->noteAnswer(Answer.Outcome);
+    if (Writer->FailingSince.Ms != 0)
+      continue;
+    Writer->ProbeLoopRunning = false;
+    co_return;
+  }
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/topic_follower.cpp
+++ b/src/pistachioflow/entry/topic_follower.cpp
@@ -87,6 +87,7 @@
       co_await pauseFor(this->Io, RetryDelay);
       co_return false;
     }
+    this->noteAnswer();
     // The pages are read one after the other and are no snapshot. Reading on
     // from the end that the first page reported covers changes in between.
     if (FirstEndOffset < 0)
@@ -115,7 +116,9 @@
 
 asio::awaitable<void> TopicFollower::readOnce() {
   const bool Behind = this->NextOffset < this->LoadedUpTo;
-  const bool SkipWait = Behind || this->SkipReadWait;
+  // A read that hangs when an outage ends delays the next one by its timeout.
+  const bool Failing = this->FailingSince.Ms != 0;
+  const bool SkipWait = Behind || this->SkipReadWait || Failing;
   const Duration Wait = SkipWait ? Duration{0} : ReadWait;
   const ReadAnswer Answer = co_await this->Store.read(
       this->Topic, this->NextOffset, Wait, Wait + ReadAnswerTime);
@@ -124,6 +127,7 @@
   if (!this->Loaded || this->Stopped)
     co_return;
   if (Answer.Outcome == ReadOutcome::Expired) {
+    this->noteAnswer();
     logEvent(LogLevel::Info, "topic_expired",
              {{"topic", this->Topic}, {"offset", this->NextOffset}});
     this->reload();
@@ -135,7 +139,7 @@
     co_await pauseFor(this->Io, RetryDelay);
     co_return;
   }
-  this->LastContact = this->Time.monotonic();
+  this->noteAnswer();
   for (const JournalRecord &Record : Answer.Records) {
     this->Observer.Apply(Record);
     if (!this->Loaded || this->Stopped)
@@ -154,14 +158,21 @@
     logEvent(LogLevel::Warning, "store_lost",
              {{"topic", this->Topic}, {"reason", Reason}});
   }
+  this->Observer.ReadFailed();
 }
 
-void TopicFollower::markCaughtUp() {
-  if (this->FailingSince.Ms != 0)
-    logEvent(LogLevel::Info, "store_regained",
-             {{"topic", this->Topic}, {"offset", this->NextOffset}});
-  this->FailingSince = {};
+void TopicFollower::noteAnswer() {
   this->LastContact = this->Time.monotonic();
+  if (this->FailingSince.Ms == 0)
+    return;
+  logEvent(LogLevel::Info, "store_regained",
+           {{"topic", this->Topic},
+            {"offset", this->NextOffset},
+            {"ms", (this->LastContact - this->FailingSince).Ms}});
+  this->FailingSince = {};
+}
+
+void TopicFollower::markCaughtUp() {
   this->IsCaughtUp = true;
   this->Applied.notify();
   this->Observer.CaughtUp();
--- /dev/null
+++ b/tests/platform/store_outage_test.cpp
@@ -0,0 +1,134 @@
+// The journal's writer and follower after an outage of the store that nothing
+// but their own calls can notice the end of.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "pistachioflow/entry/journal_writer.hpp"
+#include "pistachioflow/entry/topic_follower.hpp"
+#include "pistachioflow/platform_standin/platform_server.hpp"
+
+namespace pistachioflow {
+
+namespace {
+
+/// Ends a test that waits for something that does not happen.
+constexpr Duration WaitLimit{20'000};
+constexpr Duration PollInterval{10};
+constexpr WriteTimeouts ShortTimeouts{{50}, {200}};
+
+JournalRecord makeRecord(const std::string &Key) { return {Key, "value"}; }
+
+/// A writer and a follower of the journal at a store of their own.
+struct JournalFixture {
+  asio::io_context Io;
+  SystemClock Time;
+  PlatformServer Platform{this->Io, this->Time, SimulatorLimits{}, 1};
+  std::unique_ptr<StoreClient> Store;
+  std::shared_ptr<JournalWriter> Writer;
+  std::unique_ptr<TopicFollower> Follower;
+
+  JournalFixture() {
+    REQUIRE(this->Platform.start(0, 1, Resources{}));
+    this->Store = std::make_unique<StoreClient>(
+        this->Io, "127.0.0.1:" + std::to_string(this->Platform.storePort()));
+    this->Writer = std::make_shared<JournalWriter>(
+        this->Io, *this->Store, this->Time, "writer", 1, 0, 65'536);
+    this->Follower = std::make_unique<TopicFollower>(
+        this->Io, *this->Store, this->Time, std::string(JournalTopic),
+        TopicObserver{[] {}, [](const JournalRecord &) {}, [] {},
+                      [this] { this->Writer->checkStore(); }},
+        Duration{0});
+  }
+
+  asio::awaitable<WriteOutcome> write(const std::string &Key) {
+    std::vector<JournalRecord> Records{makeRecord(Key)};
+    co_return co_await this->Writer->write(std::move(Records), ShortTimeouts);
+  }
+
+  asio::awaitable<bool> waitUntil(std::function<bool()> Done) {
+    const Instant StartedAt = this->Time.monotonic();
+    while (!Done() && this->Time.monotonic() - StartedAt < WaitLimit)
+      co_await pauseFor(this->Io, PollInterval);
+    co_return Done();
+  }
+
+  /// Runs \p Test as the only coroutine besides the fixture's own.
+  void run(std::function<asio::awaitable<void>()> Test) {
+    spawnCoroutine(
+        this->Io, "test",
+        [](JournalFixture &Fixture, std::function<asio::awaitable<void>()> Body)
+            -> asio::awaitable<void> {
+          co_await Body();
+          Fixture.Io.stop();
+        }(*this, std::move(Test)));
+    this->Io.run();
+  }
+};
+
+} // namespace
+
+TEST_CASE("the end of a store outage is noticed without traffic of callers") {
+  // An instance that refuses submissions while appends fail sends no append
+  // that could succeed.
+  struct Row {
+    const char *Name;
+    bool Unresponsive;
+    bool Writes;
+    bool Follows;
+  };
+  const auto Case = GENERATE(Row{"writer, refused", false, true, false},
+                             Row{"writer, unanswered", true, true, false},
+                             Row{"follower, refused", false, false, true},
+                             Row{"follower, unanswered", true, false, true},
+                             Row{"both, refused", false, true, true},
+                             Row{"both, unanswered", true, true, true});
+  CAPTURE(Case.Name);
+  JournalFixture Fixture;
+  bool Failed = false;
+  bool Recovered = false;
+  WriteOutcome Later = WriteOutcome::NotStored;
+  Fixture.run([&]() -> asio::awaitable<void> {
+    co_await Fixture.write("a/1");
+    if (Case.Follows)
+      spawnCoroutine(Fixture.Io, "follow", Fixture.Follower->run());
+    StoreFaults &Faults = Fixture.Platform.StoreBehaviour;
+    (Case.Unresponsive ? Faults.Unresponsive : Faults.Refusing) = true;
+    if (Case.Writes)
+      co_await Fixture.write("a/2");
+    Failed = co_await Fixture.waitUntil(
+        [&] { return Fixture.Writer->failingSince().Ms != 0; });
+    Faults = {};
+    Recovered = co_await Fixture.waitUntil(
+        [&] { return Fixture.Writer->failingSince().Ms == 0; });
+    Later = co_await Fixture.write("a/3");
+  });
+  REQUIRE(Failed);
+  REQUIRE(Recovered);
+  REQUIRE(Later == WriteOutcome::Stored);
+}
+
+TEST_CASE("a rejected append of an older epoch is no failure of the store") {
+  JournalFixture Fixture;
+  WriteOutcome Outcome = WriteOutcome::Unknown;
+  Fixture.run([&]() -> asio::awaitable<void> {
+    const JournalRecord Newer = makeRecord("a/1");
+    std::string Topic(JournalTopic);
+    Producer Successor{"writer", 2, 0};
+    const std::optional<std::int64_t> NoExpectedEnd;
+    co_await Fixture.Store->append(std::move(Topic), {&Newer, 1},
+                                   std::move(Successor), NoExpectedEnd,
+                                   Duration{5'000});
+    Outcome = co_await Fixture.write("a/2");
+  });
+  REQUIRE(Outcome == WriteOutcome::Fenced);
+  REQUIRE(Fixture.Writer->failingSince().Ms == 0);
+}
+
+} // namespace pistachioflow
