Hold preempted capacity for its beneficiary, count guarantees in a round

Cause: each round decided anew. Change: a preemption makes a claim, one worker for each task, that later rounds hold whatever is ranked first; it ends with the start, or after the time a stop takes. Overdue guaranteed work is decided before what it would reclaim. Use and claims of workspaces are counted within the round.

--- a/include/pistachioflow/entry/metrics.hpp
+++ b/include/pistachioflow/entry/metrics.hpp
@@ -20,6 +20,7 @@
   Counter &CancelsAccepted = Registry.counter("cancels_accepted_total");
   Counter &AppendsFailed = Registry.counter("store_appends_failed_total");
   Counter &Appends = Registry.counter("store_appends_total");
+  Counter &StoreProbes = Registry.counter("store_probes_total");
   Counter &AppendedBytes = Registry.counter("store_appended_bytes_total");
   Counter &Reads = Registry.counter("store_reads_total");
   Counter &ReadsFailed = Registry.counter("store_reads_failed_total");
@@ -28,6 +29,7 @@
   Counter &RunsEnded = Registry.counter("runs_ended_total");
   Counter &RunsLost = Registry.counter("runs_lost_total");
   Counter &Preemptions = Registry.counter("preemptions_total");
+  Counter &WastedPreemptions = Registry.counter("preemptions_wasted_total");
   Counter &Holds = Registry.counter("worker_holds_total");
   Counter &HoldsFailed = Registry.counter("worker_holds_failed_total");
   Counter &JobsEnded = Registry.counter("jobs_ended_total");
--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -69,6 +69,12 @@
   Unit *Beneficiary = nullptr;
 };
 
+/// Claim of a unit on the capacity that is being preempted for it.
+struct UnitClaim {
+  Unit *Beneficiary = nullptr;
+  CapacityClaim Claim;
+};
+
 /// Workers that units of lower rank leave to a unit.
 struct UnitReservation {
   Unit *Beneficiary = nullptr;
@@ -78,6 +84,8 @@
 struct PlanningResult {
   std::vector<UnitPlacement> Starts;
   std::vector<UnitPreemption> Preemptions;
+  std::vector<UnitClaim> Claims;
+  std::vector<Unit *> DroppedClaims; ///< Waiting units that lose their claim.
   std::vector<UnitReservation> Reservations;
   std::size_t Waiting = 0;
 };
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -47,6 +47,14 @@
   }
 };
 
+/// Capacity that is being preempted for a waiting unit.
+struct CapacityClaim {
+  std::vector<std::string> Workers; ///< One for each task. Empty: no claim.
+  /// For each preempted unit, the claimed worker that it was preempted on.
+  std::vector<std::string> VictimWorkers;
+  Instant At;
+};
+
 struct Job;
 
 /// What is started and stopped as a whole: a gang, or a single task.
@@ -73,6 +81,7 @@
   std::set<std::string, std::less<>> FailedWorkers; ///< Workers of failed runs.
   std::vector<std::string> ReservedWorkers; ///< Workers that drain for it.
   Instant ReservedAt;
+  CapacityClaim Claim;
 
   const StepSpec &spec() const;
   bool isGang() const;
@@ -133,6 +142,8 @@
     Stuck,   ///< A run uses no CPU although its gang is complete.
     StopRequested,
     Reserved,
+    ClaimReplaced, ///< Started, but not on all workers preempted for it.
+    ClaimFailed,   ///< Not started on what was preempted for it.
     UnitDone,
     JobEnded,
   };
@@ -142,6 +153,7 @@
   std::int64_t Run = 0;
   std::string Detail;
   std::int64_t DurationMs = 0; ///< Time it took, where it applies.
+  std::int64_t Victims = 0;    ///< Units preempted in vain.
   /// Set only for a run that ended as done without having resumed from a
   /// checkpoint.
   std::string Queue;
@@ -188,6 +200,13 @@
   /// Stores which workers drain for \p Unit.
   void reserve(Unit &Unit, std::span<const std::string> Workers, Instant Now);
 
+  /// Stores the capacity that is being preempted for \p Unit. place() ends the
+  /// claim.
+  void claim(Unit &Unit, CapacityClaim Claim, Instant Now);
+
+  /// Ends the claim of \p Unit without a start; does nothing if it has none.
+  void dropClaim(Unit &Unit, Instant Now, std::string_view Reason);
+
   /// Marks the start order of a member as sent. Returns false, and changes
   /// nothing, when the run is not current or the member is not in phase
   /// Planned.
@@ -274,6 +293,8 @@
               std::string_view Reason);
   void stopMembers(Unit &Unit, Instant Now, std::string_view Reason);
   void requeueIfEnded(Unit &Unit, Instant Now);
+  void endClaim(Unit &Unit, std::span<const PlaceRecord> Used, Instant Now,
+                std::string_view Reason);
   void registerMembers(Unit &Unit);
   void markDirty(const Unit &Unit);
   void recordEvent(TableEvent::Kind EventKind, std::string Subject,
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/sched/guarantee_ledger.hpp"
 #include "pistachioflow/sched/job_spec.hpp"
 
 namespace pistachioflow {
@@ -61,9 +63,13 @@
   /// Workers of the group's running tasks, one entry for each; only for steps
   /// with MaxPerWorker.
   std::vector<std::string> GroupWorkers;
-  /// Its workspace's guarantee covers it and its start is overdue: it may
-  /// preempt work of the same priority from workspaces beyond their guarantees.
-  bool MayReclaim = false;
+  /// It has waited long enough to preempt work of its own priority from
+  /// workspaces beyond their guarantees, if its own guarantee covers it.
+  bool ReclaimDue = false;
+  /// One worker for each task: capacity that earlier rounds preempted for it.
+  /// Empty: none.
+  std::span<const std::string> ClaimedWorkers;
+  Instant ClaimedAt; ///< Older claims are served first.
   /// Workers that earlier rounds reserved for it.
   std::span<const std::string> ReservedWorkers;
   /// Prefers to wait for runs that are expected to end about as soon as a stop
@@ -79,9 +85,7 @@
   Resources TaskResources;
   std::vector<std::size_t> WorkerIndices; ///< Where its members run.
   bool Stopping = false;
-  bool EndsSoon = false; ///< Probably ends no later than by a stop.
-
-  bool BeyondGuarantee = false; ///< Its workspace uses more than its guarantee.
+  bool EndsSoon = false;        ///< Probably ends no later than by a stop.
   double LostWork = 0;          ///< Core-seconds lost by a stop.
   std::int64_t RemainingMs = 0; ///< Expected time to its end.
 };
@@ -92,10 +96,19 @@
   std::vector<std::size_t> WorkerIndices;
 };
 
-/// Preemption of a placed unit for a waiting one.
+/// Preemption of a placed unit for a waiting one, which needs one of its
+/// workers.
 struct PlannedPreemption {
   std::size_t PlacedIndex = 0;
   std::size_t WaitingIndex = 0;
+  std::size_t WorkerIndex = 0;
+};
+
+/// Capacity that is being preempted for a waiting unit: one worker for each
+/// task. Later rounds hold it for the unit.
+struct PlannedClaim {
+  std::size_t WaitingIndex = 0;
+  std::vector<std::size_t> WorkerIndices;
 };
 
 /// Workers that units of lower rank must not use until a waiting gang fits on
@@ -109,6 +122,9 @@
 struct PlacementPlan {
   std::vector<PlannedStart> Starts;
   std::vector<PlannedPreemption> Preemptions;
+  std::vector<PlannedClaim> Claims;
+  /// Waiting units whose claim includes a worker that they may not use now.
+  std::vector<std::size_t> DroppedClaims;
   std::vector<PlannedReservation> Reservations;
   std::vector<std::size_t> Blocked; ///< Indices of waiting units.
 };
@@ -130,10 +146,14 @@
 /// waiting for is withheld from all units behind it, so that work of lower
 /// priority cannot take it. A unit of the highest priority preempts lower
 /// priorities and, within its guarantee, workspaces beyond theirs; the victims
-/// are those that lose the least work. Thread safety: pure.
+/// are those that lose the least work. The unit then claims what the victims
+/// release, whatever is ranked before it in later rounds: without the claim, a
+/// full queue of urgent gangs preempts the same work again and again. Thread
+/// safety: pure.
 PlacementPlan planPlacement(std::span<PlacementWorker> Workers,
                             std::span<const WaitingUnit> Waiting,
-                            std::span<const PlacedUnit> Placed);
+                            std::span<const PlacedUnit> Placed,
+                            std::span<const GuaranteeUse> Guarantees);
 
 /// Returns how many tasks of \p PerTask fit into \p Available.
 std::int64_t fittingTasks(const Resources &Available, const Resources &PerTask);
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -63,9 +63,13 @@
     Metrics.JobsEnded.add();
     Metrics.JobMs.record(ElapsedMs);
     break;
+  case TableEvent::Kind::ClaimFailed:
+    Metrics.WastedPreemptions.add(static_cast<std::uint64_t>(Event.Victims));
+    break;
   case TableEvent::Kind::Stuck:
   case TableEvent::Kind::StopRequested:
   case TableEvent::Kind::Reserved:
+  case TableEvent::Kind::ClaimReplaced:
   case TableEvent::Kind::UnitDone:
     break;
   }
@@ -306,6 +310,10 @@
   entryMetrics().UnitsWaiting.set(
       static_cast<std::int64_t>(Plan.Waiting - Plan.Starts.size()));
   entryMetrics().Preemptions.add(Plan.Preemptions.size());
+  for (Unit *Entry : Plan.DroppedClaims)
+    Term.Table.dropClaim(*Entry, Now, "not_released");
+  for (const UnitClaim &Entry : Plan.Claims)
+    Term.Table.claim(*Entry.Beneficiary, Entry.Claim, Now);
   for (const UnitPlacement &Start : Plan.Starts)
     Term.Table.place(*Start.Placed, Start.Places, Now);
   for (const UnitReservation &Entry : Plan.Reservations)
@@ -482,9 +490,10 @@
 }
 
 void Dispatcher::logEvents(OwnershipTerm &Term) {
-  constexpr std::array Names{
-      "placed",    "started",     "start_refused", "run_ended", "run_vanished",
-      "run_stuck", "stop_wanted", "reserved",      "unit_done", "job_ended"};
+  constexpr std::array Names{"placed",       "started",      "start_refused",
+                             "run_ended",    "run_vanished", "run_stuck",
+                             "stop_wanted",  "reserved",     "claim_replaced",
+                             "claim_failed", "unit_done",    "job_ended"};
   for (const TableEvent &Event : Term.Table.takeEvents()) {
     this->updateFromEvent(Term, Event);
     countEvent(Event);
@@ -498,6 +507,7 @@
               {"worker", Event.Worker},
               {"detail", Event.Detail},
               {"ms", Event.DurationMs},
+              {"victims", Event.Victims},
               {"estimated_ms", Event.EstimatedMs},
               {"queue", Event.Queue},
               {"epoch", Term.Epoch}});
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -18,8 +18,9 @@
 constexpr Duration MoveTimeout{1'000};
 /// After this long, other workers may become free sooner.
 constexpr Duration ReservationLifetime{3'000};
-
-using AcceleratorUse = std::map<std::string, std::int64_t>;
+/// Added to the time that a stop takes for the lifetime of a claim: the order
+/// to stop, the report of the end and a repetition of either.
+constexpr Duration ClaimMargin{600};
 
 /// Whether the worker has a run that was placed after its latest failure.
 bool hasNewRun(const PlanningView &View, const WorkerLink &Link) {
@@ -89,20 +90,30 @@
   return rankUnit(Inputs, View.Now);
 }
 
-/// Accelerators in use by work of the highest priority, by workspace.
-AcceleratorUse guaranteedUse(const PlanningView &View) {
-  AcceleratorUse Use;
-  for (const Unit *Unit : View.Table.active())
-    if (termsOf(View.Desired, *Unit->ParentJob).Priority == 0)
-      Use[Unit->ParentJob->Submission.Workspace] +=
-          Unit->spec().TaskResources.Accelerators * Unit->TaskCount;
-  return Use;
+/// Whether the unit's capacity is being released: it has ended or was stopped.
+bool isStopping(const Unit &Placed) {
+  const bool StopRequested =
+      std::ranges::any_of(Placed.Members, [](const Member &Peer) {
+        return Peer.occupiesCapacity() && Peer.StopRequested;
+      });
+  return StopRequested || Placed.Done || hasEnded(Placed.ParentJob->Phase);
 }
 
-std::int64_t guaranteeOf(const PlanningView &View,
-                         const std::string &Workspace) {
-  const WorkspaceConfig *Match = findWorkspace(View.Desired, Workspace);
-  return Match ? Match->GuaranteedAccelerators : 0;
+std::vector<GuaranteeUse> guaranteeUses(const PlanningView &View,
+                                        std::span<Unit *const> Active) {
+  std::vector<GuaranteeUse> Uses;
+  for (const WorkspaceConfig &Workspace : View.Desired.Workspaces)
+    Uses.push_back({Workspace.Name, Workspace.GuaranteedAccelerators, 0});
+  for (const Unit *Unit : Active) {
+    if (termsOf(View.Desired, *Unit->ParentJob).Priority != 0 ||
+        isStopping(*Unit))
+      continue;
+    const auto Use = std::ranges::find(
+        Uses, Unit->ParentJob->Submission.Workspace, &GuaranteeUse::Workspace);
+    if (Use != Uses.end())
+      Use->InUse += Unit->spec().TaskResources.Accelerators * Unit->TaskCount;
+  }
+  return Uses;
 }
 
 double lostWork(const Unit &Unit, Instant Now) {
@@ -119,8 +130,7 @@
 
 std::vector<PlacedUnit> collectPlaced(const PlanningView &View,
                                       std::span<Unit *const> Active,
-                                      std::vector<PlacementWorker> &Workers,
-                                      const AcceleratorUse &Use) {
+                                      std::vector<PlacementWorker> &Workers) {
   std::unordered_map<std::string, std::size_t> IndexOf;
   for (std::size_t Index = 0; Index < Workers.size(); ++Index)
     IndexOf[Workers[Index].Id] = Index;
@@ -132,17 +142,13 @@
     Entry.TaskResources = Unit->spec().TaskResources;
     if (Unit->spec().FillsIdleCpu)
       Entry.TaskResources.MilliCores = 0;
-    const auto Used = Use.find(Entry.Workspace);
-    Entry.BeyondGuarantee =
-        Used != Use.end() && Used->second > guaranteeOf(View, Entry.Workspace);
     Entry.LostWork = lostWork(*Unit, View.Now);
     const RemainingTime Left = remainingTime(View, *Unit);
     Entry.RemainingMs = Left.Span.Ms;
-    Entry.Stopping = Unit->Done || hasEnded(Unit->ParentJob->Phase);
+    Entry.Stopping = isStopping(*Unit);
     for (const Member &Peer : Unit->Members) {
       if (!Peer.occupiesCapacity())
         continue;
-      Entry.Stopping = Entry.Stopping || Peer.StopRequested;
       const auto Worker = IndexOf.find(Peer.Worker);
       if (Worker != IndexOf.end())
         Entry.WorkerIndices.push_back(Worker->second);
@@ -162,8 +168,13 @@
   return Placed;
 }
 
-WaitingUnit describeWaiting(const PlanningView &View, const Unit &Waiting,
-                            const AcceleratorUse &Use) {
+/// Whether the stops that a unit waits for should have ended by now.
+bool claimExpired(const PlanningView &View, const Unit &Waiting) {
+  return !Waiting.Claim.Workers.empty() &&
+         View.Now - Waiting.Claim.At > View.StopTimeout + ClaimMargin;
+}
+
+WaitingUnit describeWaiting(const PlanningView &View, const Unit &Waiting) {
   const Job &Job = *Waiting.ParentJob;
   const QueueTerms &Terms = termsOf(View.Desired, Job);
   WaitingUnit Entry;
@@ -177,13 +188,11 @@
       View.Now - Waiting.ReadySince < View.ReclaimAfter;
   Entry.LastAttempt = Waiting.Failures > 0 && !Waiting.spec().LongRunning &&
                       Waiting.Failures + 1 >= Job.Submission.Terms.MaxAttempts;
-  const auto Used = Use.find(Entry.Workspace);
-  const std::int64_t InUse = Used == Use.end() ? 0 : Used->second;
-  const bool Guaranteed =
-      InUse + Waiting.spec().TaskResources.Accelerators * Waiting.TaskCount <=
-      guaranteeOf(View, Entry.Workspace);
-  Entry.MayReclaim =
-      Guaranteed && View.Now - Job.AcceptedAt >= View.ReclaimAfter;
+  Entry.ReclaimDue =
+      Terms.Priority == 0 && View.Now - Job.AcceptedAt >= View.ReclaimAfter;
+  if (!claimExpired(View, Waiting))
+    Entry.ClaimedWorkers = Waiting.Claim.Workers;
+  Entry.ClaimedAt = Waiting.Claim.At;
   if (Waiting.spec().MaxPerWorker > 0) {
     const StepState &Step =
         Job.Occurrences.at(Waiting.Occurrence).Steps[Waiting.Step];
@@ -311,8 +320,7 @@
         continue;
       if (Workers.empty())
         Workers = collectWorkers(View);
-      const WaitingUnit Gang =
-          describeWaiting(View, *Unit, guaranteedUse(View));
+      const WaitingUnit Gang = describeWaiting(View, *Unit);
       std::vector<std::string> Racks;
       for (const Member &Other : Unit->Members)
         if (const auto Link = View.Workers.find(Other.Worker);
@@ -342,20 +350,33 @@
     return Result;
   std::vector<PlacementWorker> Workers = collectWorkers(View);
   const std::vector<Unit *> Active = View.Table.active();
-  const AcceleratorUse Use = guaranteedUse(View);
-  const std::vector<PlacedUnit> Placed =
-      collectPlaced(View, Active, Workers, Use);
+  const std::vector<PlacedUnit> Placed = collectPlaced(View, Active, Workers);
   std::vector<WaitingUnit> Waiting;
   std::map<const StepState *, std::size_t> Groups;
   for (const Unit *Unit : Units) {
-    Waiting.push_back(describeWaiting(View, *Unit, Use));
+    Waiting.push_back(describeWaiting(View, *Unit));
     const StepState *Step =
         &Unit->ParentJob->Occurrences.at(Unit->Occurrence).Steps[Unit->Step];
     Waiting.back().Group =
         Groups.try_emplace(Step, Groups.size()).first->second;
   }
   applyEarlierReservations(View, Units, Waiting, Workers);
-  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed);
+  const PlacementPlan Plan =
+      planPlacement(Workers, Waiting, Placed, guaranteeUses(View, Active));
+  for (Unit *Unit : Units)
+    if (claimExpired(View, *Unit))
+      Result.DroppedClaims.push_back(Unit);
+  for (const std::size_t Index : Plan.DroppedClaims)
+    Result.DroppedClaims.push_back(Units[Index]);
+  for (const PlannedClaim &Entry : Plan.Claims) {
+    CapacityClaim Claim{{}, {}, View.Now};
+    for (const std::size_t Worker : Entry.WorkerIndices)
+      Claim.Workers.push_back(Workers[Worker].Id);
+    for (const PlannedPreemption &Stop : Plan.Preemptions)
+      if (Stop.WaitingIndex == Entry.WaitingIndex)
+        Claim.VictimWorkers.push_back(Workers[Stop.WorkerIndex].Id);
+    Result.Claims.push_back({Units[Entry.WaitingIndex], std::move(Claim)});
+  }
   for (const PlannedReservation &Entry : Plan.Reservations) {
     Result.Reservations.push_back({Units[Entry.WaitingIndex], {}});
     for (const std::size_t Worker : Entry.WorkerIndices)
--- /dev/null
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -0,0 +1,150 @@
+#include "candidate_workers.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace pistachioflow {
+
+namespace {
+
+using WorkerSpan = std::span<const PlacementWorker>;
+
+std::int64_t tasksFor(const PlacementWorker &Worker, const WaitingUnit &Unit,
+                      const Resources &Available) {
+  const std::int64_t Fitting =
+      std::min(fittingTasks(Available, countedDemand(*Unit.Step)),
+               spreadLimit(Worker, Unit));
+  return Worker.OnProbation ? std::min<std::int64_t>(Fitting, 1) : Fitting;
+}
+
+bool betterCandidate(const CandidateWorker &Left,
+                     const CandidateWorker &Right) {
+  if (Left.Avoided != Right.Avoided)
+    return !Left.Avoided;
+  if (Left.Leftover != Right.Leftover)
+    return Left.Leftover < Right.Leftover;
+  return Left.LeftoverCores < Right.LeftoverCores;
+}
+
+/// Assigns tasks to the candidates in order until every task has a worker.
+std::optional<WorkerChoice> fill(std::span<const CandidateWorker> Candidates,
+                                 std::int64_t Tasks) {
+  WorkerChoice Chosen;
+  for (const CandidateWorker &Entry : Candidates) {
+    const std::int64_t Missing =
+        Tasks - static_cast<std::int64_t>(Chosen.size());
+    const std::int64_t Added = std::min(Missing, Entry.Tasks);
+    Chosen.insert(Chosen.end(), static_cast<std::size_t>(Added), Entry.Worker);
+    if (static_cast<std::int64_t>(Chosen.size()) == Tasks)
+      return Chosen;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+Resources countedDemand(const StepSpec &Step) {
+  Resources PerTask = Step.TaskResources;
+  if (Step.FillsIdleCpu)
+    PerTask.MilliCores = 0;
+  return PerTask;
+}
+
+bool isEligible(const PlacementWorker &Worker, const WaitingUnit &Unit) {
+  const bool NonUrgentSingleTask = Unit.Priority > 0 && Unit.TaskCount == 1;
+  if (Worker.ReservedForUrgent && NonUrgentSingleTask)
+    return false;
+  return !Worker.ReservedThisRound && mayHost(Worker, Unit);
+}
+
+bool isAvoided(const PlacementWorker &Worker, const WaitingUnit &Unit) {
+  if (Unit.LastAttempt && !Worker.Verified)
+    return true;
+  if (Worker.ReservedForGroup != NoGroup &&
+      Worker.ReservedForGroup != Unit.Group)
+    return true;
+  return Worker.Deprioritized ||
+         (Unit.AvoidedWorkers && Unit.AvoidedWorkers->contains(Worker.Id));
+}
+
+std::int64_t spreadLimit(const PlacementWorker &Worker,
+                         const WaitingUnit &Unit) {
+  if (Unit.Step->MaxPerWorker <= 0)
+    return UnlimitedTasks;
+  const auto Running = std::ranges::count(Unit.GroupWorkers, Worker.Id);
+  return std::max<std::int64_t>(Unit.Step->MaxPerWorker - Running, 0);
+}
+
+std::vector<CandidateWorker> findCandidates(WorkerSpan Workers,
+                                            const WaitingUnit &Unit,
+                                            Resources PlacementWorker::*Free) {
+  std::vector<CandidateWorker> Result;
+  for (std::size_t Index = 0; Index < Workers.size(); ++Index) {
+    const PlacementWorker &Worker = Workers[Index];
+    if (!isEligible(Worker, Unit))
+      continue;
+    const Resources &Available = Worker.*Free;
+    const std::int64_t Tasks = tasksFor(Worker, Unit, Available);
+    if (Tasks <= 0)
+      continue;
+    const Resources &PerTask = Unit.Step->TaskResources;
+    Result.push_back(
+        {Index, Tasks, Available.Accelerators - PerTask.Accelerators,
+         Available.MilliCores - PerTask.MilliCores, isAvoided(Worker, Unit)});
+  }
+  std::ranges::stable_sort(Result, betterCandidate);
+  return Result;
+}
+
+std::vector<std::string> allowedRacks(WorkerSpan Workers,
+                                      const WaitingUnit &Unit) {
+  std::map<std::string, std::int64_t> TasksByRack;
+  for (const PlacementWorker &Worker : Workers)
+    if (isEligible(Worker, Unit))
+      TasksByRack[Worker.Rack] += tasksFor(Worker, Unit, Worker.Capacity);
+  const std::string &DataRack = Unit.Step->DataRack;
+  const auto Data = TasksByRack.find(DataRack);
+  const bool DataRackExists =
+      !DataRack.empty() && Data != TasksByRack.end() && Data->second > 0;
+  if (DataRackExists && (!Unit.Step->Gang || Data->second >= Unit.TaskCount))
+    return {DataRack};
+  const bool OneRack =
+      Unit.Step->Gang && Unit.Step->TightlyCoupled && Unit.TaskCount > 1;
+  if (!OneRack)
+    return {};
+  std::vector<std::string> Racks;
+  for (const auto &[Rack, Tasks] : TasksByRack)
+    if (Tasks >= Unit.TaskCount)
+      Racks.push_back(Rack);
+  return Racks;
+}
+
+std::optional<WorkerChoice> chooseWorkers(WorkerSpan Workers,
+                                          const WaitingUnit &Unit,
+                                          std::span<const std::string> Racks,
+                                          Resources PlacementWorker::*Free) {
+  const std::vector<CandidateWorker> All = findCandidates(Workers, Unit, Free);
+  if (Racks.empty())
+    return fill(All, Unit.TaskCount);
+  std::optional<WorkerChoice> Best;
+  std::int64_t LeastFreeTasks = UnlimitedTasks;
+  for (const std::string &Rack : Racks) {
+    std::vector<CandidateWorker> Inside;
+    std::int64_t FreeTasks = 0;
+    for (const CandidateWorker &Entry : All) {
+      if (Workers[Entry.Worker].Rack != Rack)
+        continue;
+      Inside.push_back(Entry);
+      FreeTasks += Entry.Tasks + (Entry.Avoided ? Unit.TaskCount : 0);
+    }
+    std::optional<WorkerChoice> Chosen = fill(Inside, Unit.TaskCount);
+    if (!Chosen || FreeTasks >= LeastFreeTasks)
+      continue;
+    Best = std::move(Chosen);
+    LeastFreeTasks = FreeTasks;
+  }
+  return Best;
+}
+
+} // namespace pistachioflow
--- /dev/null
+++ b/src/pistachioflow/sched/candidate_workers.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "pistachioflow/sched/placement.hpp"
+
+namespace pistachioflow {
+
+/// Workers for a unit by index, one for each task.
+using WorkerChoice = std::vector<std::size_t>;
+
+/// A worker and the number of the unit's tasks that fit on it.
+struct CandidateWorker {
+  std::size_t Worker = 0;
+  std::int64_t Tasks = 0;
+  std::int64_t Leftover = 0; ///< Free accelerators after one task.
+  std::int64_t LeftoverCores = 0;
+  bool Avoided = false;
+};
+
+/// Resources that one task of the step takes from a worker's capacity.
+Resources countedDemand(const StepSpec &Step);
+
+/// Whether the unit may use the worker in this round.
+bool isEligible(const PlacementWorker &Worker, const WaitingUnit &Unit);
+
+/// Whether the unit should use the worker only where no other fits.
+bool isAvoided(const PlacementWorker &Worker, const WaitingUnit &Unit);
+
+/// How many more tasks the step's limit allows on a worker.
+std::int64_t spreadLimit(const PlacementWorker &Worker,
+                         const WaitingUnit &Unit);
+
+/// Returns the eligible workers where at least one task fits into \p Free, the
+/// tightest fit first.
+std::vector<CandidateWorker>
+findCandidates(std::span<const PlacementWorker> Workers,
+               const WaitingUnit &Unit, Resources PlacementWorker::*Free);
+
+/// Returns the racks a unit may use, by name. Empty means any worker.
+std::vector<std::string> allowedRacks(std::span<const PlacementWorker> Workers,
+                                      const WaitingUnit &Unit);
+
+/// Chooses workers by one of their free amounts. Of several possible racks,
+/// prefers the one with room for the fewest of these tasks.
+std::optional<WorkerChoice>
+chooseWorkers(std::span<const PlacementWorker> Workers, const WaitingUnit &Unit,
+              std::span<const std::string> Racks,
+              Resources PlacementWorker::*Free);
+
+} // namespace pistachioflow
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -258,6 +258,7 @@
 
 void JobTable::place(Unit &Unit, std::span<const PlaceRecord> Places,
                      Instant Now) {
+  this->endClaim(Unit, Places, Now, "other_workers");
   ++Unit.Run;
   Unit.FullyStarted = false;
   Unit.FirstMemberEndedAt = {};
@@ -319,6 +320,31 @@
                     (Now - Unit.ReadySince).Ms);
 }
 
+void JobTable::claim(Unit &Unit, CapacityClaim Claim, Instant Now) {
+  this->dropClaim(Unit, Now, "replaced");
+  Unit.Claim = std::move(Claim);
+}
+
+void JobTable::dropClaim(Unit &Unit, Instant Now, std::string_view Reason) {
+  this->endClaim(Unit, {}, Now, Reason);
+}
+
+void JobTable::endClaim(Unit &Unit, std::span<const PlaceRecord> Used,
+                        Instant Now, std::string_view Reason) {
+  const CapacityClaim Claim = std::exchange(Unit.Claim, {});
+  const auto Unused =
+      std::ranges::count_if(Claim.VictimWorkers, [&](const std::string &Id) {
+        return std::ranges::find(Used, Id, &PlaceRecord::Worker) == Used.end();
+      });
+  if (Unused == 0)
+    return;
+  this->recordEvent(Used.empty() ? TableEvent::Kind::ClaimFailed
+                                 : TableEvent::Kind::ClaimReplaced,
+                    Unit.name(), {}, Unit.Run, std::string(Reason),
+                    (Now - Claim.At).Ms);
+  this->Events.back().Victims = Unused;
+}
+
 bool JobTable::markSent(const MemberRef &Ref, std::int64_t Run, Instant Now) {
   if (Ref.ParentUnit->Run != Run || Ref.Index >= Ref.ParentUnit->Members.size())
     return false;
--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -211,6 +211,7 @@
     for (StepState &Step : Occurrence.Steps)
       for (Unit &Entry : Step.Units) {
         this->Waiting.erase(&Entry);
+        this->dropClaim(Entry, Now, "job_ended");
         if (!Entry.Done)
           this->stopMembers(Entry, Now, "job_ended");
         const std::string Name = Entry.name();
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -1,6 +1,7 @@
 #include "pistachioflow/sched/job_table.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -365,4 +366,41 @@
   REQUIRE(Fixture.Table.find(JobId) == nullptr);
 }
 
+TEST_CASE("preempted units count as wasted unless a start follows") {
+  struct Row {
+    const char *Name;
+    std::vector<std::string> Started; ///< Empty: the claim is dropped.
+    std::optional<TableEvent::Kind> Event;
+    std::int64_t Victims;
+  };
+  const auto Case = GENERATE(
+      Row{"on the claimed workers", {"w2", "w1"}, std::nullopt, 0},
+      Row{"partly elsewhere", {"w1", "w3"}, TableEvent::Kind::ClaimReplaced, 1},
+      Row{"elsewhere", {"w3", "w4"}, TableEvent::Kind::ClaimReplaced, 3},
+      Row{"not at all", {}, TableEvent::Kind::ClaimFailed, 3});
+  CAPTURE(Case.Name);
+  TableFixture Fixture({makeStep(2, true)});
+  Unit &Gang = *Fixture.Table.placeable(Fixture.Now).front();
+  Fixture.Table.claim(Gang, {{"w1", "w2"}, {"w1", "w1", "w2"}, Fixture.Now},
+                      Fixture.Now);
+  std::vector<PlaceRecord> Places;
+  for (const std::string &Worker : Case.Started)
+    Places.push_back({Worker, 1});
+  if (Places.empty())
+    Fixture.Table.dropClaim(Gang, Fixture.Now, "not_released");
+  else
+    Fixture.Table.place(Gang, Places, Fixture.Now);
+  std::optional<TableEvent::Kind> Found;
+  std::int64_t Victims = 0;
+  for (const TableEvent &Event : Fixture.Table.takeEvents())
+    if (Event.EventKind == TableEvent::Kind::ClaimReplaced ||
+        Event.EventKind == TableEvent::Kind::ClaimFailed) {
+      Found = Event.EventKind;
+      Victims += Event.Victims;
+    }
+  REQUIRE(Found == Case.Event);
+  REQUIRE(Victims == Case.Victims);
+  REQUIRE(Gang.Claim.Workers.empty());
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -89,7 +89,7 @@
   StepSpec Step = makeStep(8, {1'000, 100, 1}, false, false);
   Step.MaxPerWorker = Limit;
   const std::vector<WaitingUnit> Waiting(8, makeUnit(Step, 2));
-  const PlacementPlan Plan = planPlacement(Workers, Waiting, {});
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, {}, {});
   std::vector<std::int64_t> Tasks(Workers.size(), 0);
   for (const PlannedStart &Start : Plan.Starts)
     for (const std::size_t Worker : Start.WorkerIndices)
@@ -106,7 +106,7 @@
   Workers[0].FreeAfterStops.Accelerators = 0;
   const StepSpec Step = makeStep(Tasks, {1'000, 100, 8}, true, true);
   const std::vector<WaitingUnit> Waiting{makeUnit(Step, 0)};
-  const PlacementPlan Plan = planPlacement(Workers, Waiting, {});
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, {}, {});
   REQUIRE(Plan.Starts.size() == 1);
   for (const std::size_t Worker : Plan.Starts[0].WorkerIndices)
     REQUIRE(Workers[Worker].Rack == (Tasks == 2 ? "r0" : "r1"));
@@ -125,7 +125,7 @@
       fillWorkers(Workers, {1}, Case.OtherPriority, 20)};
   const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
   const std::vector<WaitingUnit> Waiting{makeUnit(Step, 0)};
-  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed);
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed, {});
   REQUIRE(Plan.Starts.empty());
   std::vector<std::size_t> Preempted;
   for (const PlannedPreemption &Entry : Plan.Preemptions)
@@ -138,12 +138,14 @@
       GENERATE(table<bool, bool, std::size_t>(
           {{true, true, 1}, {true, false, 0}, {false, true, 0}}));
   auto Workers = makeWorkers(1, 1);
-  std::vector<PlacedUnit> Placed{fillWorkers(Workers, {0}, 0, 10)};
-  Placed[0].BeyondGuarantee = Beyond;
+  const std::vector<PlacedUnit> Placed{fillWorkers(Workers, {0}, 0, 10)};
+  const std::vector<GuaranteeUse> Guarantees{{"team", Within ? 8 : 7, 0},
+                                             {"other", Beyond ? 7 : 8, 8}};
   const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
   std::vector<WaitingUnit> Waiting{makeUnit(Step, 0)};
-  Waiting[0].MayReclaim = Within;
-  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed);
+  Waiting[0].ReclaimDue = true;
+  const PlacementPlan Plan =
+      planPlacement(Workers, Waiting, Placed, Guarantees);
   REQUIRE(Plan.Preemptions.size() == Preempted);
 }
 
@@ -158,7 +160,7 @@
   const StepSpec Small = makeStep(1, {1'000, 100, 1}, false, false);
   std::vector<WaitingUnit> Waiting{makeUnit(Urgent, 0), makeUnit(Small, 2)};
   Waiting[1].Group = 1;
-  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed);
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed, {});
   REQUIRE(Plan.Starts.empty());
   REQUIRE(Plan.Preemptions.empty());
 }
@@ -203,7 +205,7 @@
   WaitingUnit Unit = makeUnit(Step, 1);
   Unit.LastAttempt = Case.LastAttempt;
   const std::vector<WaitingUnit> Waiting(4, Unit);
-  REQUIRE(planPlacement(Workers, Waiting, {}).Starts.size() == Case.Starts);
+  REQUIRE(planPlacement(Workers, Waiting, {}, {}).Starts.size() == Case.Starts);
 }
 
 TEST_CASE("work of the same priority is preempted last") {
@@ -213,11 +215,12 @@
   std::vector<PlacedUnit> Placed{fillWorkers(Workers, {0}, 0, 0),
                                  fillWorkers(Workers, {1}, 2, 900)};
   Placed[0].Workspace = "other";
-  Placed[0].BeyondGuarantee = true;
+  const std::vector<GuaranteeUse> Guarantees{{"team", 8, 0}, {"other", 0, 8}};
   const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
   WaitingUnit Unit = makeUnit(Step, 0);
-  Unit.MayReclaim = true;
-  const PlacementPlan Plan = planPlacement(Workers, {&Unit, 1}, Placed);
+  Unit.ReclaimDue = true;
+  const PlacementPlan Plan =
+      planPlacement(Workers, {&Unit, 1}, Placed, Guarantees);
   REQUIRE(Plan.Preemptions.size() == 1);
   REQUIRE(Plan.Preemptions.front().PlacedIndex == 1);
 }
@@ -240,7 +243,7 @@
     Waiting.push_back(makeUnit(Small, 2));
   for (std::size_t Index = 0; Index < Waiting.size(); ++Index)
     Waiting[Index].Group = Index;
-  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed);
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed, {});
   REQUIRE(Plan.Reservations.size() == 1);
   REQUIRE(Plan.Reservations.front().WorkerIndices ==
           std::vector<std::size_t>{4, 5});
@@ -266,7 +269,7 @@
   const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
   WaitingUnit Unit = makeUnit(Step, 0);
   Unit.WaitsForExpectedEnds = Case.Patient;
-  const PlacementPlan Plan = planPlacement(Workers, {&Unit, 1}, Placed);
+  const PlacementPlan Plan = planPlacement(Workers, {&Unit, 1}, Placed, {});
   REQUIRE(Plan.Preemptions.size() == Case.Preempted);
 }
 
@@ -291,7 +294,115 @@
   const StepSpec Step =
       makeStep(Case.Gang ? 2 : 1, {1'000, 100, 8}, Case.Gang, false);
   const std::vector<WaitingUnit> Waiting(4, makeUnit(Step, Case.Priority));
-  REQUIRE(planPlacement(Workers, Waiting, {}).Starts.size() == Case.Starts);
+  REQUIRE(planPlacement(Workers, Waiting, {}, {}).Starts.size() == Case.Starts);
+}
+
+TEST_CASE("what is preempted for a unit is held for it") {
+  // Under more urgent gangs than fit, a gang with an earlier deadline takes
+  // each worker that is released for another gang, which preempts again.
+  struct Row {
+    const char *Name;
+    std::vector<std::string> Claimed;
+    bool Released;
+    std::vector<std::size_t> Started;
+    std::size_t Preemptions;
+  };
+  const auto Case =
+      GENERATE(Row{"still being released", {"w0", "w1"}, false, {}, 0},
+               Row{"released", {"w0", "w1"}, true, {1}, 0},
+               Row{"no claim", {}, true, {0}, 0});
+  CAPTURE(Case.Name);
+  std::vector<PlacementWorker> Workers = makeWorkers(2, 2);
+  std::vector<PlacedUnit> Placed;
+  if (!Case.Released) {
+    Placed.push_back(fillWorkers(Workers, {0, 1}, 2, 0));
+    Placed.back().Stopping = true;
+    for (PlacementWorker &Worker : Workers)
+      Worker.FreeAfterStops = WholeWorker;
+    Workers[0].FreeNow = WholeWorker;
+  }
+  const StepSpec Wide = makeStep(2, {1'000, 100, 8}, true, false);
+  std::vector<WaitingUnit> Waiting(2, makeUnit(Wide, 0));
+  Waiting[1].ClaimedWorkers = Case.Claimed;
+  Waiting[1].Group = 1;
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed, {});
+  std::vector<std::size_t> Started;
+  for (const PlannedStart &Start : Plan.Starts)
+    Started.push_back(Start.WaitingIndex);
+  REQUIRE(Started == Case.Started);
+  REQUIRE(Plan.Preemptions.size() == Case.Preemptions);
+  REQUIRE(Plan.DroppedClaims.empty());
+}
+
+TEST_CASE("a claim is dropped with a worker that the unit may not use") {
+  std::vector<PlacementWorker> Workers = makeWorkers(3, 3);
+  Workers[0].Usable = false;
+  const StepSpec Wide = makeStep(2, {1'000, 100, 8}, true, false);
+  const std::vector<std::string> Claimed{"w0", "w1"};
+  WaitingUnit Unit = makeUnit(Wide, 0);
+  Unit.ClaimedWorkers = Claimed;
+  const PlacementPlan Plan = planPlacement(Workers, {&Unit, 1}, {}, {});
+  REQUIRE(Plan.DroppedClaims == std::vector<std::size_t>{0});
+  REQUIRE(Plan.Starts.size() == 1);
+}
+
+TEST_CASE("a workspace reclaims no more than its guarantee") {
+  // Each of several waiting gangs fits the guarantee, but not all of them.
+  const auto [Guaranteed, Reclaims] = GENERATE(table<std::int64_t, std::size_t>(
+      {{7, 0}, {8, 1}, {16, 2}, {23, 2}, {24, 3}}));
+  std::vector<PlacementWorker> Workers = makeWorkers(3, 3);
+  const std::vector<PlacedUnit> Placed{fillWorkers(Workers, {0}, 0, 10),
+                                       fillWorkers(Workers, {1}, 0, 20),
+                                       fillWorkers(Workers, {2}, 0, 30)};
+  const std::vector<GuaranteeUse> Guarantees{{"team", Guaranteed, 0},
+                                             {"other", 0, 24}};
+  const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
+  std::vector<WaitingUnit> Waiting(3, makeUnit(Step, 0));
+  for (std::size_t Index = 0; Index < Waiting.size(); ++Index) {
+    Waiting[Index].ReclaimDue = true;
+    Waiting[Index].Group = Index;
+  }
+  const PlacementPlan Plan =
+      planPlacement(Workers, Waiting, Placed, Guarantees);
+  REQUIRE(Plan.Preemptions.size() == Reclaims);
+}
+
+TEST_CASE("a workspace keeps what its own guarantee covers") {
+  // It holds three gangs, one more than guaranteed. If all were counted as
+  // beyond the guarantee, it would lose them and reclaim two of them in turn.
+  std::vector<PlacementWorker> Workers = makeWorkers(3, 3);
+  const std::vector<PlacedUnit> Placed{fillWorkers(Workers, {0}, 0, 10),
+                                       fillWorkers(Workers, {1}, 0, 20),
+                                       fillWorkers(Workers, {2}, 0, 30)};
+  const std::vector<GuaranteeUse> Guarantees{{"team", 24, 0},
+                                             {"other", 16, 24}};
+  const auto [Tasks, Reclaims] =
+      GENERATE(table<std::int64_t, std::size_t>({{1, 1}, {2, 0}}));
+  const StepSpec Step = makeStep(Tasks, {1'000, 100, 8}, true, false);
+  std::vector<WaitingUnit> Waiting(2, makeUnit(Step, 0));
+  for (std::size_t Index = 0; Index < Waiting.size(); ++Index) {
+    Waiting[Index].ReclaimDue = true;
+    Waiting[Index].Group = Index;
+  }
+  const PlacementPlan Plan =
+      planPlacement(Workers, Waiting, Placed, Guarantees);
+  REQUIRE(Plan.Preemptions.size() == Reclaims);
+}
+
+TEST_CASE(
+    "overdue guaranteed work is placed before work that it would reclaim") {
+  const auto [Due, First] =
+      GENERATE(table<bool, std::size_t>({{true, 1}, {false, 0}}));
+  std::vector<PlacementWorker> Workers = makeWorkers(1, 1);
+  const StepSpec Step = makeStep(1, {1'000, 100, 8}, true, false);
+  std::vector<WaitingUnit> Waiting(2, makeUnit(Step, 0));
+  Waiting[0].Workspace = "other";
+  Waiting[1].ReclaimDue = Due;
+  Waiting[1].Group = 1;
+  const std::vector<GuaranteeUse> Guarantees{{"team", 8, 0}, {"other", 0, 0}};
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, {}, Guarantees);
+  REQUIRE(Plan.Starts.size() == 1);
+  REQUIRE(Plan.Starts.front().WaitingIndex == First);
 }
 
 } // namespace pistachioflow
