Count failures of gang runs that were taken as ended out of reach

Cause: a gang whose members report that it was broken is placed again without waiting for members on a worker that is cut off. Change: attempts of a unit are a history of their own. A run taken as ended out of reach counts as a possible failure until its worker reports, has restarted, or its lease has expired; the last attempt waits for that. Its late failure counts. Both are in the unit's record, behind the earlier fields. Test: job_table_test, 'a failure on a worker that was out of reach counts as an attempt'.

--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/sched/attempt_history.hpp"
 #include "pistachioflow/sched/records.hpp"
 #include "pistachioflow/sched/worker.hpp"
 
@@ -65,8 +66,7 @@
   std::int64_t FirstTask = 0;
   std::int64_t TaskCount = 1;
   std::int64_t Run = 0;
-  std::int64_t Failures = 0;
-  std::int64_t FailedRun = 0; ///< The newest run that failed.
+  AttemptHistory Attempts;
   /// All members of the newest run were running at the same time.
   bool FullyStarted = false;
   /// When the first member of a fully started gang ended; 0: none has. The
@@ -176,9 +176,10 @@
   void addCancellation(std::string_view JobId, std::int64_t WallMs,
                        Instant Now);
   void restorePhase(std::string_view JobId, const JobPhaseRecord &Record);
+  /// \p LeaseEnds is when every lease of earlier owners has expired.
   /// Precondition: the job's submission has been added.
   void restoreUnit(std::string_view UnitName, const UnitRecord &Record,
-                   Instant Now);
+                   Instant LeaseEnds, Instant Now);
   /// @}
 
   /// Unlocks due occurrences, and steps whose predecessors are done.
@@ -243,9 +244,9 @@
 
   /// Handles an unresponsive worker. Its members of gangs that began to end
   /// before \p EndedBefore have ended too, although the worker cannot report
-  /// it.
+  /// it. \p LeaseEnds is when its leases expire.
   void workerUnresponsive(std::string_view Worker, Instant EndedBefore,
-                          Instant Now);
+                          Instant LeaseEnds, Instant Now);
 
   /// Ends all members on the worker. Precondition: every lease there has
   /// certainly expired.
@@ -288,6 +289,10 @@
                      Instant Now);
   void applyEnd(Unit &Unit, std::size_t Index, const EndedRun &End, Instant Now,
                 std::int64_t WallMs);
+  void applyLateEnd(Unit &Unit, std::string_view Worker, const EndedRun &End,
+                    Instant Now, std::int64_t WallMs);
+  void resolvePresumedEnds(std::string_view Worker, const WorkerReport &Report);
+  void failIfExhausted(Unit &Unit, Instant Now, std::int64_t WallMs);
   void completeUnit(Unit &Unit, Instant Now, std::int64_t WallMs);
   void endJob(Job &Job, JobPhase Phase, std::int64_t WallMs, Instant Now,
               std::string_view Reason);
@@ -302,6 +307,8 @@
                    std::string Detail = {}, std::int64_t Ms = 0);
 
   std::unordered_map<std::string, Job> Jobs;
+  /// Units with a presumed end on the worker.
+  std::unordered_map<std::string, std::set<Unit *>> PresumedEndsByWorker;
   std::unordered_map<std::string, std::vector<MemberRef>> MembersByWorker;
   std::set<Unit *> Waiting; ///< Unlocked units without members.
   std::set<Unit *> Active;
--- a/include/pistachioflow/sched/records.hpp
+++ b/include/pistachioflow/sched/records.hpp
@@ -70,19 +70,29 @@
 };
 
 /// A single task or a gang: its newest run and the state retained across runs.
+/// A run that was taken as ended on a worker that could not report it.
+struct PresumedEndRecord {
+  std::string Worker;
+  std::int64_t Run = 0;
+
+  MSGPACK_DEFINE(Worker, Run)
+};
+
 struct UnitRecord {
   std::int64_t Run = 0; ///< Number of the newest start.
   bool Done = false;
   std::int64_t Failures = 0;
   std::string Checkpoint;
   std::vector<PlaceRecord> Places; ///< Empty: runs nowhere.
-  std::int64_t FailedRun = 0;      ///< The newest run that counts as a failure.
+  std::int64_t FailedRun = 0;      ///< The newest run that failed.
   /// A member of the fully started gang has ended, so that members on
   /// unresponsive workers end as well.
   bool GangRunEnded = false;
+  std::vector<std::int64_t> FailedRuns;
+  std::vector<PresumedEndRecord> PresumedEnds;
 
   MSGPACK_DEFINE(Run, Done, Failures, Checkpoint, Places, FailedRun,
-                 GangRunEnded)
+                 GangRunEnded, FailedRuns, PresumedEnds)
 };
 
 struct OwnershipRecord {
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -168,7 +168,9 @@
           Term.Table.restorePhase(Name, *Decoded);
       } else if (Kind == RecordKind::Unit) {
         if (const auto Decoded = decodeRecord<UnitRecord>(Value))
-          Term.Table.restoreUnit(Name, *Decoded, Now);
+          Term.Table.restoreUnit(Name, *Decoded,
+                                 Now + maxLocalLease(this->Settings.MaxLease),
+                                 Now);
       } else {
         Term.Table.addCancellation(Name, WallMs, Now);
       }
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -186,8 +186,9 @@
   Entry.AvoidedWorkers = &Waiting.FailedWorkers;
   Entry.WaitsForExpectedEnds =
       View.Now - Waiting.ReadySince < View.ReclaimAfter;
-  Entry.LastAttempt = Waiting.Failures > 0 && !Waiting.spec().LongRunning &&
-                      Waiting.Failures + 1 >= Job.Submission.Terms.MaxAttempts;
+  const std::int64_t Failures = Waiting.Attempts.failures();
+  Entry.LastAttempt = Failures > 0 && !Waiting.spec().LongRunning &&
+                      Failures + 1 >= Job.Submission.Terms.MaxAttempts;
   Entry.ReclaimDue =
       Terms.Priority == 0 && View.Now - Job.AcceptedAt >= View.ReclaimAfter;
   if (!claimExpired(View, Waiting))
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -251,7 +251,8 @@
   }
   // Members of a gang that lost a member take as long to end as stopped ones.
   Term->Table.workerUnresponsive(
-      Worker->Id, Now - this->Settings.StopTimeout - GangEndMargin, Now);
+      Worker->Id, Now - this->Settings.StopTimeout - GangEndMargin,
+      Worker->LeaseEnds, Now);
   if (Term->Table.dirty())
     this->requestRound();
   // Another worker answers at its address, so this worker no longer exists.
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -139,7 +139,7 @@
 }
 
 void JobTable::restoreUnit(std::string_view UnitName, const UnitRecord &Record,
-                           Instant Now) {
+                           Instant LeaseEnds, Instant Now) {
   const TaskName Name = parseTaskName(UnitName);
   Job *Job = this->find(Name.JobId);
   if (!Job || hasEnded(Job->Phase) || Name.Occurrence < 0)
@@ -150,8 +150,9 @@
     return;
   this->RecordedUnits.insert(std::string(UnitName));
   Unit->Run = Record.Run;
-  Unit->Failures = Record.Failures;
-  Unit->FailedRun = Record.FailedRun;
+  Unit->Attempts = readAttempts(Record, LeaseEnds);
+  for (const PresumedEnd &End : Unit->Attempts.PresumedEnds)
+    this->PresumedEndsByWorker[End.Worker].insert(Unit);
   if (Record.GangRunEnded)
     Unit->FirstMemberEndedAt = Now;
   Unit->Checkpoint = Record.Checkpoint;
@@ -246,9 +247,13 @@
 
 std::vector<Unit *> JobTable::placeable(Instant Now) {
   std::vector<Unit *> Ready;
-  for (Unit *Unit : this->Waiting)
-    if (Unit->NotBefore <= Now)
+  for (Unit *Unit : this->Waiting) {
+    const std::int64_t Limit = Unit->ParentJob->Submission.Terms.MaxAttempts;
+    const bool MayRun =
+        Unit->spec().LongRunning || mayRunAgain(Unit->Attempts, Limit, Now);
+    if (MayRun && Unit->NotBefore <= Now)
       Ready.push_back(Unit);
+  }
   return Ready;
 }
 
--- a/src/pistachioflow/sched/job_table_records.cpp
+++ b/src/pistachioflow/sched/job_table_records.cpp
@@ -8,13 +8,12 @@
 namespace {
 
 UnitRecord recordOf(const Unit &Unit) {
-  UnitRecord Record{Unit.Run,
-                    Unit.Done,
-                    Unit.Failures,
-                    Unit.Checkpoint,
-                    {},
-                    Unit.FailedRun,
-                    Unit.FirstMemberEndedAt.Ms != 0};
+  UnitRecord Record;
+  Record.Run = Unit.Run;
+  Record.Done = Unit.Done;
+  Record.Checkpoint = Unit.Checkpoint;
+  Record.GangRunEnded = Unit.FirstMemberEndedAt.Ms != 0;
+  writeAttempts(Unit.Attempts, Record);
   const bool AnyActive =
       std::ranges::any_of(Unit.Members, [](const Member &Entry) {
         return Entry.Phase != MemberPhase::Ended;
--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -79,7 +79,10 @@
         Place.ParentUnit->Members[Place.Index].Worker == Worker;
     if (Current)
       this->applyEnd(*Place.ParentUnit, Place.Index, End, Now, WallMs);
+    else if (Place.ParentUnit)
+      this->applyLateEnd(*Place.ParentUnit, Worker, End, Now, WallMs);
   }
+  this->resolvePresumedEnds(Worker, Report);
   const auto Match = this->MembersByWorker.find(std::string(Worker));
   if (Match == this->MembersByWorker.end())
     return Unwanted;
@@ -155,10 +158,7 @@
   if (!End.Checkpoint.empty())
     Unit.Checkpoint = End.Checkpoint;
   if (End.Outcome == RunOutcome::Failed && !Unit.Done) {
-    // If several members of one run fail, it counts as one failure.
-    if (Unit.FailedRun != End.Run)
-      ++Unit.Failures;
-    Unit.FailedRun = End.Run;
+    countFailure(Unit.Attempts, End.Run);
     Unit.FailedWorkers.insert(Unit.Members[Index].Worker);
     Unit.ParentJob->FailedWorkers.insert(Unit.Members[Index].Worker);
     Unit.NotBefore = std::max(Unit.NotBefore, Now + FailureBackoff);
@@ -170,10 +170,7 @@
     this->completeUnit(Unit, Now, WallMs);
   else if (!Unit.Done)
     this->stopMembers(Unit, Now, "member_ended");
-  const std::int64_t MaxAttempts = Unit.ParentJob->Submission.Terms.MaxAttempts;
-  if (!Unit.Done && !Unit.spec().LongRunning && Unit.Failures >= MaxAttempts &&
-      !hasEnded(Unit.ParentJob->Phase))
-    this->endJob(*Unit.ParentJob, JobPhase::Failed, WallMs, Now, "attempts");
+  this->failIfExhausted(Unit, Now, WallMs);
   this->requeueIfEnded(Unit, Now);
 }
 
@@ -212,6 +209,8 @@
       for (Unit &Entry : Step.Units) {
         this->Waiting.erase(&Entry);
         this->dropClaim(Entry, Now, "job_ended");
+        for (const PresumedEnd &End : Entry.Attempts.PresumedEnds)
+          this->PresumedEndsByWorker[End.Worker].erase(&Entry);
         if (!Entry.Done)
           this->stopMembers(Entry, Now, "job_ended");
         const std::string Name = Entry.name();
@@ -253,7 +252,7 @@
 }
 
 void JobTable::workerUnresponsive(std::string_view Worker, Instant EndedBefore,
-                                  Instant Now) {
+                                  Instant LeaseEnds, Instant Now) {
   const auto Match = this->MembersByWorker.find(std::string(Worker));
   if (Match == this->MembersByWorker.end())
     return;
@@ -267,6 +266,9 @@
     this->recordEvent(TableEvent::Kind::RunLost,
                       Ref.ParentUnit->taskName(Ref.Index), std::string(Worker),
                       Ref.ParentUnit->Run, "gang_ended");
+    presumeEnd(Ref.ParentUnit->Attempts, Worker, Ref.ParentUnit->Run,
+               LeaseEnds);
+    this->PresumedEndsByWorker[std::string(Worker)].insert(Ref.ParentUnit);
     this->endMember(*Ref.ParentUnit, Ref.Index, Now);
     this->requeueIfEnded(*Ref.ParentUnit, Now);
   }
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -174,11 +174,12 @@
     Fixture.Table.confirm(Gang->taskName(Index), 1, Fixture.Now);
   Fixture.end("w0", Fixture.task(0, 0), 1, RunOutcome::GangBroken);
   const Instant Later = Fixture.Now + Duration{1'000};
+  const Instant LeaseEnds = Later + Duration{5'000};
   if (!Case.Successor) {
-    Fixture.Table.workerUnresponsive("w1", Fixture.Now, Later);
+    Fixture.Table.workerUnresponsive("w1", Fixture.Now, LeaseEnds, Later);
     // The member may still be ending.
     REQUIRE(Fixture.Table.placeable(Later).empty());
-    Fixture.Table.workerUnresponsive("w1", Later, Later);
+    Fixture.Table.workerUnresponsive("w1", Later, LeaseEnds, Later);
     REQUIRE(Fixture.Table.placeable(Later).size() == Case.Waiting);
     return;
   }
@@ -186,13 +187,74 @@
   for (const JournalRecord &Record : Fixture.Table.takeRecords())
     if (Record.Key == unitKey(Gang->name()))
       Next.Table.restoreUnit(Gang->name(),
-                             *decodeRecord<UnitRecord>(Record.Value), Later);
+                             *decodeRecord<UnitRecord>(Record.Value), LeaseEnds,
+                             Later);
   REQUIRE(Next.Table.placeable(Later).empty());
   for (const char *Worker : {"w0", "w1"})
-    Next.Table.workerUnresponsive(Worker, Later + Duration{1}, Later);
+    Next.Table.workerUnresponsive(Worker, Later + Duration{1}, LeaseEnds,
+                                  Later);
   REQUIRE(Next.Table.placeable(Later).size() == Case.Waiting);
 }
 
+TEST_CASE("a failure on a worker that was out of reach counts as an attempt") {
+  // Workers are cut off while gangs run on them. The others show only that the
+  // gang has ended; the failure comes to light when the worker is back.
+  enum class Back { Failed, Broken, Nothing, LeaseExpired };
+  struct Row {
+    const char *Name;
+    Back How;
+    bool Successor; ///< A new owner restores it from records before that.
+    JobPhase Phase;
+    std::size_t Waiting;
+  };
+  const auto Case = GENERATE(
+      Row{"it failed there", Back::Failed, false, JobPhase::Failed, 0},
+      Row{"it failed there, new owner", Back::Failed, true, JobPhase::Failed,
+          0},
+      Row{"it failed elsewhere", Back::Broken, false, JobPhase::Running, 1},
+      Row{"nothing reported", Back::Nothing, false, JobPhase::Running, 1},
+      Row{"the lease expired", Back::LeaseExpired, false, JobPhase::Running,
+          1});
+  CAPTURE(Case.Name);
+  TableFixture Fixture({makeStep(2, true)});
+  REQUIRE(Fixture.startAll() == 1);
+  Fixture.end("w0", Fixture.task(0, 0), 1, RunOutcome::GangBroken);
+  const Instant LeaseEnds = Fixture.Now + Duration{5'000};
+  Fixture.Table.workerUnresponsive("w1", Fixture.Now + Duration{1}, LeaseEnds,
+                                   Fixture.Now);
+  Unit *Gang = Fixture.Table.placeable(Fixture.Now).front();
+  Fixture.Table.place(*Gang, std::vector<PlaceRecord>{{"w2", 1}, {"w3", 1}},
+                      Fixture.Now);
+  for (std::size_t Index = 0; Index < 2; ++Index)
+    Fixture.Table.markSent({Gang, Index}, 2, Fixture.Now);
+  Fixture.end("w2", Fixture.task(0, 0), 2, RunOutcome::Failed);
+  Fixture.end("w3", Fixture.task(0, 1), 2, RunOutcome::GangBroken);
+  // One failure is known and one is possible: both attempts may be used up.
+  const Instant Later = Fixture.Now + Duration{1'000};
+  REQUIRE(Fixture.phase() == JobPhase::Running);
+  REQUIRE(Fixture.Table.placeable(Later).empty());
+
+  TableFixture Next({makeStep(2, true)});
+  if (Case.Successor)
+    for (const JournalRecord &Record : Fixture.Table.takeRecords())
+      if (Record.Key == unitKey(Gang->name()))
+        Next.Table.restoreUnit(Gang->name(),
+                               *decodeRecord<UnitRecord>(Record.Value),
+                               LeaseEnds, Fixture.Now);
+  TableFixture &Owner = Case.Successor ? Next : Fixture;
+  REQUIRE(Owner.Table.placeable(Later).empty());
+  if (Case.How == Back::Failed)
+    Owner.end("w1", Owner.task(0, 1), 1, RunOutcome::Failed);
+  if (Case.How == Back::Broken)
+    Owner.end("w1", Owner.task(0, 1), 1, RunOutcome::GangBroken);
+  if (Case.How == Back::Nothing)
+    Owner.report("w1", {}, {});
+  const Instant Asked =
+      Case.How == Back::LeaseExpired ? LeaseEnds + Duration{1} : Later;
+  REQUIRE(Owner.Table.placeable(Asked).size() == Case.Waiting);
+  REQUIRE(Owner.phase() == Case.Phase);
+}
+
 TEST_CASE("a refused gang member moves while the others keep running") {
   // Under a burst of gangs some workers shed load: a refusal must not stop the
   // members that have started.
@@ -260,7 +322,8 @@
   Successor.addSubmission(JobId, makeSubmission({makeStep(2, true)}),
                           Fixture.Now, 1'000);
   Successor.restoreUnit(JobId + ".0.0",
-                        *decodeRecord<UnitRecord>(Stored->Value), Fixture.Now);
+                        *decodeRecord<UnitRecord>(Stored->Value), Fixture.Now,
+                        Fixture.Now);
   Successor.unlockDueSteps(Fixture.Now, 1'000);
   // The end was not acknowledged, so the worker reports it again.
   WorkerReport Report;
@@ -279,7 +342,7 @@
   UnitRecord Record;
   Record.Run = 3;
   Record.Places.push_back({"w0", 1});
-  Table.restoreUnit(JobId + ".0.0.0", Record, Now);
+  Table.restoreUnit(JobId + ".0.0.0", Record, Now, Now);
   Table.unlockDueSteps(Now, 1'000);
   REQUIRE(Table.placeable(Now).empty());
   WorkerReport Report;
