Treat gateway errors as unknown appends, bound a request's arrival time

Cause, by reading: 500, 502 and 504 counted as 'not appended', so that a caller could be told that a stored job never runs; a field of another type in the store's answer threw in a coroutine, which ends the process; every byte of a slow request renewed its timeout. Change: only 4xx, 503 and 507 count as refused; conflicts and pages without their fields are unknown or refused; a request's timeout runs from its first byte.

--- a/include/pistachioflow/net/http_server.hpp
+++ b/include/pistachioflow/net/http_server.hpp
@@ -23,7 +23,7 @@
 struct HttpServerLimits {
   std::size_t MaxHeaderBytes = 16U << 10U;
   std::size_t MaxBodyBytes = 256U << 10U;
-  Duration RequestTimeout = {3'000};  ///< For each read within a request.
+  Duration RequestTimeout = {3'000};  ///< From first byte to last of a request.
   Duration IdleTimeout = {15'000};    ///< Between requests of a connection.
   std::size_t MaxConnections = 3'000; ///< More are closed on accept.
 };
--- a/src/pistachioflow/net/http_server.cpp
+++ b/src/pistachioflow/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "pistachioflow/net/http_server.hpp"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,7 +25,7 @@
 /// descriptors are exhausted.
 constexpr int AcceptRetryMs = 20;
 
-using Clock = std::chrono::steady_clock;
+using SteadyClock = std::chrono::steady_clock;
 
 } // namespace
 
@@ -120,6 +121,9 @@
   Session &Client = *Owner;
   Client.Parser.reset();
   std::string Chunk;
+  // Set by the first byte. Later ones don't extend it, so that a slow sender
+  // cannot hold the connection.
+  std::optional<SteadyClock::time_point> RequestEnds;
   while (true) {
     std::size_t Consumed = 0;
     if (!Client.Unread.empty()) {
@@ -130,9 +134,13 @@
       if (State != MessageParser::State::NeedsMore)
         co_return co_await this->respond(Client, {});
     }
-    const Duration Wait = Client.Parser.started() ? this->Limits.RequestTimeout
-                                                  : this->Limits.IdleTimeout;
-    Client.TimeoutTimer.expires_after(std::chrono::milliseconds(Wait.Ms));
+    const auto Now = SteadyClock::now();
+    if (Client.Parser.started() && !RequestEnds)
+      RequestEnds =
+          Now + std::chrono::milliseconds(this->Limits.RequestTimeout.Ms);
+    const auto IdleEnds =
+        Now + std::chrono::milliseconds(this->Limits.IdleTimeout.Ms);
+    Client.TimeoutTimer.expires_at(RequestEnds.value_or(IdleEnds));
     // Closing the socket makes the read below fail.
     Client.TimeoutTimer.async_wait([Owner](asio::error_code Cancelled) {
       asio::error_code Ignored;
--- a/src/pistachioflow/platform/store_client.cpp
+++ b/src/pistachioflow/platform/store_client.cpp
@@ -104,12 +104,31 @@
   return Request;
 }
 
+/// Whether the body is an object with a field of that name and type.
+bool hasField(const Json &Body, const char *Key, Json::value_t Type) {
+  const auto Field = Body.is_object() ? Body.find(Key) : Body.end();
+  return Field != Body.end() && Field->type() == Type;
+}
+
+bool hasInteger(const Json &Body, const char *Key) {
+  return hasField(Body, Key, Json::value_t::number_unsigned) ||
+         hasField(Body, Key, Json::value_t::number_integer);
+}
+
 AppendAnswer decodeConflict(const Json &Body) {
-  const std::string Reason =
-      Body.is_object() ? Body.value("reason", "") : std::string();
-  if (Reason == "fenced")
+  const bool HasReason = hasField(Body, "reason", Json::value_t::string);
+  if (HasReason && Body["reason"] == "fenced")
     return {AppendOutcome::Fenced};
-  return {AppendOutcome::WrongSequence, 0, integerField(Body, "sequence")};
+  if (HasReason && hasInteger(Body, "sequence"))
+    return {AppendOutcome::WrongSequence, 0, integerField(Body, "sequence")};
+  return {AppendOutcome::Unknown};
+}
+
+/// Client errors and overload (429, 503, 507) are answered before anything is
+/// appended. Nothing is known after any other status, such as a gateway's.
+bool isCertainlyRefused(int Status) {
+  const bool ClientError = Status >= 400 && Status < 500;
+  return ClientError || Status == 503 || Status == 507;
 }
 
 AppendAnswer decodeAppendAnswer(const CallResult &Call) {
@@ -126,8 +145,8 @@
   case 412:
     return {AppendOutcome::OffsetMismatch, integerField(Body, "end_offset")};
   default:
-    // With 429, 503, 507 and any other 4xx, nothing was appended.
-    return {AppendOutcome::Refused};
+    return {isCertainlyRefused(Call.Response.Status) ? AppendOutcome::Refused
+                                                     : AppendOutcome::Unknown};
   }
 }
 
@@ -230,13 +249,22 @@
   if (Page.Outcome != ReadOutcome::Read)
     co_return Page;
   const Json Body = Json::parse(Call.Response.Body, nullptr, false);
-  Page.EndOffset = integerField(Body, "end_offset");
-  if (!Body.is_object())
+  const bool NoTopic = Call.Response.Status == 404;
+  const bool FlagIsValid = !Body.is_object() || !Body.contains("has_more") ||
+                           Body["has_more"].is_boolean();
+  const bool WellFormed = hasField(Body, "items", Json::value_t::array) &&
+                          hasInteger(Body, "end_offset") && FlagIsValid;
+  if (NoTopic)
     co_return Page;
-  Page.HasMore = Body.value("has_more", false);
-  if (Body.contains("items") && Body["items"].is_array())
-    for (const Json &Item : Body["items"])
-      addItem(Page, Item);
+  if (!WellFormed) {
+    Page.Outcome = ReadOutcome::Refused;
+    co_return Page;
+  }
+  Page.EndOffset = integerField(Body, "end_offset");
+  Page.HasMore = hasField(Body, "has_more", Json::value_t::boolean) &&
+                 Body["has_more"].get<bool>();
+  for (const Json &Item : Body["items"])
+    addItem(Page, Item);
   co_return Page;
 }
 
