Preempt only what makes room without expected ends

Change: the plan leaves such capacity out; a unit for which stops alone do not suffice waits, as before. Test: placement_test, 'a preemption does not rely on expected ends'.

--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -297,6 +297,34 @@
   REQUIRE(planPlacement(Workers, Waiting, {}, {}).Starts.size() == Case.Starts);
 }
 
+TEST_CASE("a preemption does not rely on expected ends") {
+  // Under load on workers of different speeds, some runs end later than their
+  // progress suggests. The claim would wait for them with stopped victims.
+  struct Row {
+    const char *Name;
+    std::size_t Victims;
+    std::vector<std::size_t> Claimed;
+  };
+  const auto Case = GENERATE(Row{"enough victims", 2, {1, 2}},
+                             Row{"too few without the expected end", 1, {}});
+  CAPTURE(Case.Name);
+  std::vector<PlacementWorker> Workers = makeWorkers(1 + Case.Victims, 3);
+  std::vector<PlacedUnit> Placed{fillWorkers(Workers, {0}, 2, 0)};
+  Placed[0].EndsSoon = true;
+  Workers[0].FreeAfterExpectedEnds = WholeWorker;
+  for (std::size_t Index = 1; Index <= Case.Victims; ++Index)
+    Placed.push_back(fillWorkers(Workers, {Index}, 2, 100));
+  const StepSpec Step = makeStep(2, {1'000, 100, 8}, true, false);
+  WaitingUnit Unit = makeUnit(Step, 0);
+  Unit.WaitsForExpectedEnds = true;
+  const PlacementPlan Plan = planPlacement(Workers, {&Unit, 1}, Placed, {});
+  std::vector<std::size_t> Claimed;
+  for (const PlannedClaim &Claim : Plan.Claims)
+    Claimed = Claim.WorkerIndices;
+  REQUIRE(Claimed == Case.Claimed);
+  REQUIRE(Plan.Preemptions.size() == Claimed.size());
+}
+
 TEST_CASE("what is preempted for a unit is held for it") {
   // Under more urgent gangs than fit, a gang with an earlier deadline takes
   // each worker that is released for another gang, which preempts again.
--- a/src/pistachioflow/sched/preemption.cpp
+++ b/src/pistachioflow/sched/preemption.cpp
@@ -30,14 +30,13 @@
   }
 
   /// Finds a cheap set of preemptions on workers of \p Rack, task by task;
-  /// empty means any rack.
+  /// empty means any rack. Leaves out capacity that only expected ends would
+  /// free: if one is late, the victims were stopped too early.
   std::optional<Preemption> plan(std::string_view Rack) const {
     Preemption Planned;
     std::vector<Resources> Available;
     for (const PlacementWorker &Worker : this->Workers)
-      Available.push_back(this->Unit.WaitsForExpectedEnds
-                              ? Worker.FreeAfterExpectedEnds
-                              : Worker.FreeAfterStops);
+      Available.push_back(Worker.FreeAfterStops);
     std::vector<std::int64_t> TasksOn(this->Workers.size(), 0);
     while (static_cast<std::int64_t>(Planned.Chosen.size()) <
            this->Unit.TaskCount)
