--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -58,6 +58,7 @@
   using WorkerPtr = std::shared_ptr<WorkerLink>;
 
   void buildTable(OwnershipTerm &Term);
+  void followWorkerList();
   void applyWorkerEntry(const JournalRecord &Record);
   void unlistWorkers();
   void runRound();
--- a/include/pistachioflow/entry/ownership.hpp
+++ b/include/pistachioflow/entry/ownership.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
@@ -38,7 +39,9 @@
 /// What this instance knows about ownership from the journal.
 struct OwnershipView {
   OwnershipRecord NewestRecord;
-  Instant LastRecordAt;  ///< When a record of the newest epoch was last read.
+  Instant LastRecordAt; ///< When a record of the newest epoch was last read.
+  /// Since when the newest epoch is known to need a successor; 0: it does not.
+  Instant VacantSince;
   Instant ReadableSince; ///< Since when the journal is Readable.
   bool Readable = false; ///< The journal is read up to its end without a gap.
   bool ShuttingDown = false;
@@ -48,6 +51,12 @@
 /// Returns how long an instance with \p MilliCores waits before it claims.
 Duration claimDelay(const OwnershipTimes &Times, std::int64_t MilliCores);
 
+/// Returns whether the epoch of \p Record needs a successor: there is no owner,
+/// it resigned, or it was an earlier process of \p Instance, an instance name
+/// with the start of its process. Load pattern: every process is killed at
+/// once; the owner's instance need not wait for its own lost heartbeats.
+bool needsSuccessor(const OwnershipRecord &Record, std::string_view Instance);
+
 /// Returns whether an instance that is not the owner should claim at \p Now.
 /// \p Jitter delays the claim, so that instances do not all claim at once.
 /// Thread safety: pure.
@@ -56,10 +65,11 @@
 
 /// Claims, renews and gives up the ownership of all queues.
 ///
-/// A claim is an append under the next epoch, on condition that the journal
-/// still ends where this instance has read to. It is effective once it is read
-/// back. From then on the store refuses appends of older epochs, and workers
-/// refuse starts, stops and holds of older epochs.
+/// A claim is an append under the next epoch. Unless the owner has resigned or
+/// is known to be gone, it is conditional: the journal must still end where
+/// this instance has read to, since new records may be the owner's. It is
+/// effective once it is read back. From then on the store refuses appends of
+/// older epochs, and workers refuse starts, stops and holds of older epochs.
 ///
 /// Thread safety: none; use from the thread that runs the io_context.
 class Ownership {
@@ -85,8 +95,9 @@
   /// Applies an ownership record of the journal.
   void apply(const OwnershipRecord &Record);
 
-  /// Gives up ownership and never claims again.
-  asio::awaitable<void> resign();
+  /// Asks for a successor and never claims again. An owner goes on until the
+  /// successor's claim is read, or until lose().
+  void resign();
 
   /// Gives up ownership without a record, for instance because a newer owner
   /// exists. Does nothing when this instance is not the owner.
@@ -99,6 +110,7 @@
 
 private:
   asio::awaitable<void> claim();
+  void updateVacancy(Instant Now);
   asio::awaitable<void> sendHeartbeat();
 
   asio::io_context &Io;
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -101,6 +101,36 @@
   entryMetrics().OwnershipsGained.add();
   entryMetrics().OwnerEpoch.set(Epoch);
   logEvent(LogLevel::Info, "ownership_gained", {{"epoch", Epoch}});
+  this->followWorkerList();
+}
+
+/// Reads the list of workers while the journal loads, since on a slow store
+/// each takes a while.
+void Dispatcher::followWorkerList() {
+  TopicObserver Observer;
+  const std::weak_ptr<OwnershipTerm> Weak = this->CurrentTerm;
+  Observer.Reset = [this, Weak] {
+    const TermPtr Term = Weak.lock();
+    if (!Term || !Term->Active)
+      return;
+    Term->WorkerEntries.clear();
+    this->unlistWorkers();
+  };
+  Observer.Apply = [this, Weak](const JournalRecord &Record) {
+    const TermPtr Term = Weak.lock();
+    if (!Term || !Term->Active)
+      return;
+    if (Term->Loading)
+      Term->WorkerEntries.push_back(Record);
+    else
+      this->applyWorkerEntry(Record);
+  };
+  Observer.CaughtUp = [this] { this->requestRound(); };
+  OwnershipTerm &Term = *this->CurrentTerm;
+  Term.WorkerListFollower = std::make_shared<TopicFollower>(
+      this->Io, this->Store, this->Time, std::string(WorkerTopic),
+      std::move(Observer), WorkerListReadPause);
+  spawnCoroutine(this->Io, "worker_list", followTopic(Term.WorkerListFollower));
 }
 
 void Dispatcher::end() {
@@ -192,21 +222,6 @@
   OwnershipTerm &Term = *this->CurrentTerm;
   Term.Loading = false;
   this->buildTable(Term);
-  TopicObserver Observer;
-  const std::weak_ptr<OwnershipTerm> Weak = this->CurrentTerm;
-  Observer.Reset = [this, Weak] {
-    if (Weak.lock())
-      this->unlistWorkers();
-  };
-  Observer.Apply = [this, Weak](const JournalRecord &Record) {
-    if (Weak.lock())
-      this->applyWorkerEntry(Record);
-  };
-  Observer.CaughtUp = [this] { this->requestRound(); };
-  Term.WorkerListFollower = std::make_shared<TopicFollower>(
-      this->Io, this->Store, this->Time, std::string(WorkerTopic),
-      std::move(Observer), WorkerListReadPause);
-  spawnCoroutine(this->Io, "worker_list", followTopic(Term.WorkerListFollower));
   // Runs that an earlier owner started may be on workers that are no longer
   // listed.
   const Instant LeaseEnds =
@@ -219,6 +234,8 @@
       Worker->LeaseEnds = LeaseEnds;
       Worker->UnresponsiveSince = this->Time.monotonic();
     }
+  for (const JournalRecord &Entry : std::exchange(Term.WorkerEntries, {}))
+    this->applyWorkerEntry(Entry);
   spawnCoroutine(this->Io, "periodic", this->periodicLoop(this->CurrentTerm));
   this->requestRound();
 }
--- a/src/pistachioflow/entry/dispatcher_ownership_term.hpp
+++ b/src/pistachioflow/entry/dispatcher_ownership_term.hpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "pistachioflow/entry/dispatcher.hpp"
 #include "pistachioflow/entry/topic_follower.hpp"
@@ -32,6 +33,8 @@
   JobTable Table;
   WorkerLinks Workers;
   std::map<std::string, std::string> JournalValues; ///< By key; while loading.
+  /// Entries of the list of workers, in order; while loading.
+  std::vector<JournalRecord> WorkerEntries;
   std::set<std::pair<std::string, std::int64_t>> PendingStops; ///< Task, run.
   std::shared_ptr<TopicFollower> WorkerListFollower;
   Instant StartedAt;
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -186,7 +186,7 @@
   const Instant StartedAt = this->Time.monotonic();
   const Duration RequestGrace{this->Settings.ShutdownGrace.Ms *
                               RequestGracePercent / WholePercent};
-  co_await this->QueueOwnership.resign();
+  this->QueueOwnership.resign();
   this->CallerServer.startDraining();
   while (true) {
     const Duration Elapsed = this->Time.monotonic() - StartedAt;
@@ -194,10 +194,12 @@
     const std::size_t InProgress = this->CallerServer.inProgress();
     if (RemovedFromBalancer)
       this->CallerServer.closeIdle();
-    if (Elapsed >= RequestGrace || (RemovedFromBalancer && InProgress == 0))
+    const bool Idle = InProgress == 0 && !this->QueueOwnership.isOwner();
+    if (Elapsed >= RequestGrace || (RemovedFromBalancer && Idle))
       break;
     co_await pauseFor(this->Io, ShutdownPollInterval);
   }
+  this->QueueOwnership.lose("leaving");
   logEvent(LogLevel::Info, "stopped",
            {{"in_progress",
              static_cast<std::int64_t>(this->CallerServer.inProgress())},
--- a/src/pistachioflow/entry/ownership.cpp
+++ b/src/pistachioflow/entry/ownership.cpp
@@ -19,8 +19,6 @@
 /// An owner can't go on without its records, so it waits as long as the store
 /// takes.
 constexpr WriteTimeouts OwnerWriteTimeouts{{3'600'000}, {3'600'000}};
-/// Other instances take over without the record after about as long anyway.
-constexpr WriteTimeouts ResignWriteTimeouts{{500}, {1'000}};
 /// First sequence numbers are below this, so that enough numbers follow for all
 /// appends of one epoch.
 constexpr std::int64_t SequenceRange = std::int64_t{1} << 30U;
@@ -33,16 +31,24 @@
           std::max<std::int64_t>(MilliCores, 1)};
 }
 
+bool needsSuccessor(const OwnershipRecord &Record, std::string_view Instance) {
+  const auto NameOf = [](std::string_view Process) {
+    return Process.substr(0, Process.find('/'));
+  };
+  const bool EarlierProcess = Record.Instance != Instance &&
+                              NameOf(Record.Instance) == NameOf(Instance);
+  return Record.Epoch == 0 || Record.Resigned || EarlierProcess;
+}
+
 bool shouldClaim(const OwnershipView &View, const OwnershipTimes &Times,
                  Duration Jitter, Instant Now) {
   if (View.ShuttingDown || !View.Readable)
     return false;
-  const bool Vacant =
-      View.NewestRecord.Epoch == 0 || View.NewestRecord.Resigned;
-  const Instant NoRecordSince = std::max(View.LastRecordAt, View.ReadableSince);
   const Duration Delay = claimDelay(Times, View.MilliCores) + Jitter;
-  const Duration ClaimAfter = Vacant ? Delay : Times.OwnerTimeout + Delay;
-  if (Now - NoRecordSince >= ClaimAfter)
+  if (View.VacantSince.Ms != 0)
+    return Now - std::max(View.VacantSince, View.ReadableSince) >= Delay;
+  const Instant NoRecordSince = std::max(View.LastRecordAt, View.ReadableSince);
+  if (Now - NoRecordSince >= Times.OwnerTimeout + Delay)
     return true;
   const bool OwnerIsMuchSmaller =
       View.NewestRecord.MilliCores > 0 &&
@@ -59,6 +65,7 @@
       MaxCallBytes(MaxCallBytes), Hooks(std::move(Hooks)),
       Random(std::hash<std::string>{}(this->Instance)) {
   this->View.MilliCores = MilliCores;
+  this->updateVacancy(Time.monotonic());
 }
 
 asio::awaitable<void> Ownership::run() {
@@ -86,7 +93,7 @@
   this->HeartbeatInProgress = true;
   const std::shared_ptr<JournalWriter> CurrentWriter = this->Writer;
   const OwnershipRecord Record{this->View.NewestRecord.Epoch, this->Instance,
-                               ++this->HeartbeatCount, false,
+                               ++this->HeartbeatCount, this->View.ShuttingDown,
                                this->View.MilliCores};
   std::vector<JournalRecord> Records;
   Records.push_back({ownershipKey(), encodeRecord(Record)});
@@ -109,7 +116,9 @@
   std::string Topic(JournalTopic);
   Producer Claimer{std::string(OwnerProducer), this->ClaimedEpoch,
                    this->ClaimSequence};
-  const std::optional<std::int64_t> End = this->Hooks.JournalPosition();
+  std::optional<std::int64_t> End;
+  if (this->View.VacantSince.Ms == 0)
+    End = this->Hooks.JournalPosition();
   const AppendAnswer Answer = co_await this->Store.append(
       std::move(Topic), Records, std::move(Claimer), End, ClaimTimeout);
   logEvent(LogLevel::Info, "ownership_claimed",
@@ -125,6 +134,7 @@
   const bool NewEpoch = Record.Epoch > this->View.NewestRecord.Epoch;
   this->View.NewestRecord = Record;
   this->View.LastRecordAt = Now;
+  this->updateVacancy(Now);
   if (!NewEpoch)
     return;
   if (this->isOwner())
@@ -152,18 +162,18 @@
   this->Hooks.OnLost(Reason);
 }
 
-asio::awaitable<void> Ownership::resign() {
+void Ownership::resign() {
   this->View.ShuttingDown = true;
-  if (!this->isOwner())
-    co_return;
-  const std::shared_ptr<JournalWriter> CurrentWriter = this->Writer;
-  const OwnershipRecord Record{this->View.NewestRecord.Epoch, this->Instance,
-                               ++this->HeartbeatCount, true,
-                               this->View.MilliCores};
-  this->lose("leaving");
-  std::vector<JournalRecord> Records;
-  Records.push_back({ownershipKey(), encodeRecord(Record)});
-  co_await CurrentWriter->write(std::move(Records), ResignWriteTimeouts);
+  if (this->isOwner() && !this->HeartbeatInProgress)
+    spawnCoroutine(this->Io, "heartbeat", this->sendHeartbeat());
+}
+
+void Ownership::updateVacancy(Instant Now) {
+  const bool Vacant = needsSuccessor(this->View.NewestRecord, this->Instance);
+  if (!Vacant)
+    this->View.VacantSince = {};
+  else if (this->View.VacantSince.Ms == 0)
+    this->View.VacantSince = Now;
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/ownership_test.cpp
+++ b/src/pistachioflow/entry/ownership_test.cpp
@@ -1,5 +1,7 @@
 #include "pistachioflow/entry/ownership.hpp"
 
+#include <string>
+
 #include <catch2/catch.hpp>
 
 namespace pistachioflow {
@@ -17,10 +19,16 @@
     std::int64_t ReadableMs;   ///< Before now.
     std::int64_t OwnerMilliCores;
     bool ShouldClaim;
+    std::int64_t VacantMs = 9'000; ///< Where vacant; before now.
   };
   const auto Case = GENERATE(
       Row{"never owned", 0, false, true, false, 9'000, 9'000, 0, true},
       Row{"resigned", 3, true, true, false, 200, 9'000, OurMilliCores, true},
+      // It goes on until a successor is there, and writes heartbeats.
+      Row{"resigned, still working", 3, true, true, false, 10, 9'000,
+          OurMilliCores, true, 200},
+      Row{"resigned a moment ago", 3, true, true, false, 10, 9'000,
+          OurMilliCores, false, 100},
       Row{"responsive", 3, false, true, false, 400, 9'000, OurMilliCores,
           false},
       Row{"lost", 3, false, true, false, 1'700, 9'000, OurMilliCores, true},
@@ -48,6 +56,8 @@
   View.Readable = Case.Readable;
   View.ShuttingDown = Case.ShuttingDown;
   View.LastRecordAt = Now - Duration{Case.LastRecordMs};
+  if (needsSuccessor(View.NewestRecord, "us/2"))
+    View.VacantSince = Now - Duration{Case.VacantMs};
   View.ReadableSince = Now - Duration{Case.ReadableMs};
   REQUIRE(shouldClaim(View, {}, {100}, Now) == Case.ShouldClaim);
 }
@@ -57,4 +67,24 @@
   REQUIRE(claimDelay(Times, 500) + Times.ClaimJitter < claimDelay(Times, 120));
 }
 
+TEST_CASE("an instance succeeds its own earlier process without delay") {
+  // All processes are killed at once: nobody else can tell a dead owner from a
+  // slow one before its heartbeats are overdue.
+  const auto [Owner, Epoch, Resigned, Needed] =
+      GENERATE(table<std::string, std::int64_t, bool, bool>({
+          {"", 0, false, true},
+          {"us/2", 3, false, false},
+          {"us/1", 3, false, true},
+          {"us-too/1", 3, false, false},
+          {"them/1", 3, false, false},
+          {"them/1", 3, true, true},
+      }));
+  CAPTURE(Owner, Resigned);
+  OwnershipRecord Record;
+  Record.Epoch = Epoch;
+  Record.Instance = Owner;
+  Record.Resigned = Resigned;
+  REQUIRE(needsSuccessor(Record, "us/2") == Needed);
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/topic_follower.cpp
+++ b/src/pistachioflow/entry/topic_follower.cpp
@@ -99,6 +99,8 @@
       break;
     AfterKey = Records.back().Key;
   }
+  if (this->Stopped)
+    co_return false;
   this->Loaded = true;
   this->NextOffset = FirstEndOffset;
   this->LoadedUpTo = std::max(FirstEndOffset, HighestOffset + 1);
