Make scheduling rounds cheaper and pace them by their cost

Change: views instead of copies, racks only where the step asks for them, sorting only where a unit fits, one rank a step, expiry by age first; rounds wait as long as the previous one took (1 to 25 ms). scheduling_round_ms shows it.

--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -93,6 +93,7 @@
   TermPtr CurrentTerm;
   DurationModel Durations;
   asio::steady_timer RoundTimer;
+  Duration LastRoundTime{0};
   bool RoundRequested = false;
 };
 
--- a/include/pistachioflow/entry/metrics.hpp
+++ b/include/pistachioflow/entry/metrics.hpp
@@ -42,6 +42,7 @@
   LatencyHistogram &AppendMs = Registry.latency("store_append_ms");
   LatencyHistogram &UnitWaitMs = Registry.latency("unit_wait_ms");
   LatencyHistogram &RunStartMs = Registry.latency("run_start_ms");
+  LatencyHistogram &RoundMs = Registry.latency("scheduling_round_ms");
   LatencyHistogram &StateLoadMs = Registry.latency("state_load_ms");
   LatencyHistogram &JobMs = Registry.latency("job_ms");
 };
--- a/include/pistachioflow/entry/ownership.hpp
+++ b/include/pistachioflow/entry/ownership.hpp
@@ -34,6 +34,9 @@
   /// its own processors after it has read the journal without a gap for this
   /// long.
   Duration TakeoverFollowTime{5'000};
+  /// After a claim that was rejected since another instance has claimed: its
+  /// record is read within this time.
+  Duration RejectedClaimPause{500};
 };
 
 /// What this instance knows about ownership from the journal.
@@ -43,6 +46,7 @@
   /// Since when the newest epoch is known to need a successor; 0: it does not.
   Instant VacantSince;
   Instant ReadableSince; ///< Since when the journal is Readable.
+  Instant NoClaimBefore; ///< Set after a rejected claim.
   bool Readable = false; ///< The journal is read up to its end without a gap.
   bool ShuttingDown = false;
   std::int64_t MilliCores = 1'000; ///< This instance's share of processors.
@@ -81,6 +85,8 @@
     std::function<std::int64_t()> JournalPosition;
     /// Returns whether the journal is read up to its end without a gap.
     std::function<bool()> JournalReadable;
+    /// Reads the journal up to its end.
+    std::function<asio::awaitable<void>()> RefreshJournal;
   };
 
   /// \p MilliCores is this instance's share of processors.
--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -13,7 +14,8 @@
 
 namespace pistachioflow {
 
-using WorkerLinks = std::map<std::string, std::shared_ptr<WorkerLink>>;
+using WorkerLinks =
+    std::map<std::string, std::shared_ptr<WorkerLink>, std::less<>>;
 
 /// Predicts task durations for each queue: blends observed durations with
 /// callers' estimates, weighted by the accuracy of each. Thread safety: none.
--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/entry/coroutines.hpp"
@@ -61,8 +62,9 @@
 
 /// Returns a worker's rack: the last of its labels, which are its kind and
 /// rack.
-inline std::string rackOf(const WorkerEntry &Entry) {
-  return Entry.Labels.empty() ? std::string() : Entry.Labels.back();
+/// The result points into \p Entry.
+inline std::string_view rackOf(const WorkerEntry &Entry) {
+  return Entry.Labels.empty() ? std::string_view() : Entry.Labels.back();
 }
 
 } // namespace pistachioflow
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -201,9 +201,9 @@
   /// Stores which workers drain for \p Unit.
   void reserve(Unit &Unit, std::span<const std::string> Workers, Instant Now);
 
-  /// Stores the capacity that is being preempted for \p Unit. place() ends the
-  /// claim.
-  void claim(Unit &Unit, CapacityClaim Claim, Instant Now);
+  /// Stores the capacity that is being preempted for \p Unit, in place of an
+  /// earlier claim. place() ends the claim.
+  static void claim(Unit &Unit, CapacityClaim Claim);
 
   /// Ends the claim of \p Unit without a start; does nothing if it has none.
   void dropClaim(Unit &Unit, Instant Now, std::string_view Reason);
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -23,12 +23,13 @@
 /// Marks the absence of a group of units.
 inline constexpr std::size_t NoGroup = std::numeric_limits<std::size_t>::max();
 
-/// State of one worker in a placement round.
+/// State of one worker in a placement round. Its texts are views of the
+/// caller's, since a round describes every worker.
 struct PlacementWorker {
-  std::string Id;
-  std::string Service;
-  std::string Rack;
-  std::vector<std::string> Labels;
+  std::string_view Id;
+  std::string_view Service;
+  std::string_view Rack;
+  std::span<const std::string> Labels;
   Resources Capacity;
   Resources FreeNow;        ///< At the moment.
   Resources FreeAfterStops; ///< Once all runs being stopped have ended.
@@ -51,10 +52,10 @@
   bool ReservedThisRound = false; ///< For a unit earlier in the order.
 };
 
-/// A unit that waits to be placed.
+/// A unit that waits to be placed. Its texts are views of the caller's.
 struct WaitingUnit {
-  std::string Service;
-  std::string Workspace;
+  std::string_view Service;
+  std::string_view Workspace;
   std::int64_t Priority = 0;
   const StepSpec *Step = nullptr;
   std::int64_t TaskCount = 1;
@@ -62,7 +63,7 @@
   std::size_t Group = 0; ///< Units of the same step of one occurrence share it.
   /// Workers of the group's running tasks, one entry for each; only for steps
   /// with MaxPerWorker.
-  std::vector<std::string> GroupWorkers;
+  std::vector<std::string_view> GroupWorkers;
   /// It has waited long enough to preempt work of its own priority from
   /// workspaces beyond their guarantees, if its own guarantee covers it.
   bool ReclaimDue = false;
@@ -70,6 +71,8 @@
   /// Empty: none.
   std::span<const std::string> ClaimedWorkers;
   Instant ClaimedAt; ///< Older claims are served first.
+  /// The expected ends that its claim relies on are overdue.
+  bool ClaimOverdue = false;
   /// Workers that earlier rounds reserved for it.
   std::span<const std::string> ReservedWorkers;
   /// Prefers to wait for runs that are expected to end about as soon as a stop
@@ -78,9 +81,9 @@
   bool LastAttempt = false; ///< One more failure fails its job.
 };
 
-/// A unit that has been placed.
+/// A unit that has been placed. Its texts are views of the caller's.
 struct PlacedUnit {
-  std::string Workspace;
+  std::string_view Workspace;
   std::int64_t Priority = 0;
   Resources TaskResources;
   std::vector<std::size_t> WorkerIndices; ///< Where its members run.
@@ -123,7 +126,9 @@
   std::vector<PlannedStart> Starts;
   std::vector<PlannedPreemption> Preemptions;
   std::vector<PlannedClaim> Claims;
-  /// Waiting units whose claim includes a worker that they may not use now.
+  /// Waiting units whose claim is given up: it includes a worker that they may
+  /// not use now, or relies on an end that is overdue. Claims may name some of
+  /// them again.
   std::vector<std::size_t> DroppedClaims;
   std::vector<PlannedReservation> Reservations;
   std::vector<std::size_t> Blocked; ///< Indices of waiting units.
@@ -137,7 +142,7 @@
 /// excluded: a second refusal would delay the gang more than a new placement.
 std::optional<std::size_t>
 planReplacement(std::span<PlacementWorker> Workers, const WaitingUnit &Gang,
-                std::span<const std::string> OtherRacks);
+                std::span<const std::string_view> OtherRacks);
 
 /// Decides where units of \p Waiting start, in the given order, and which of \p
 /// Placed are preempted.
--- a/include/pistachioflow/sched/reservation.hpp
+++ b/include/pistachioflow/sched/reservation.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "pistachioflow/sched/placement.hpp"
@@ -23,6 +24,6 @@
 std::optional<std::vector<std::size_t>>
 planReservation(std::span<const PlacementWorker> Workers,
                 const WaitingUnit &Gang, std::span<const PlacedUnit> Placed,
-                std::span<const std::string> Racks);
+                std::span<const std::string_view> Racks);
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -13,8 +13,11 @@
 
 namespace {
 
-/// Changes within this time share one scheduling round.
-constexpr Duration RoundDelay{1};
+/// Changes within this time share one scheduling round. After a round that
+/// took longer, changes are gathered for as long as it took: rounds of a full
+/// queue leave half of the processor to starts, stops and polls.
+constexpr Duration MinRoundDelay{1};
+constexpr Duration MaxRoundDelay{25};
 /// Interval of the checks for due occurrences, draining workers and expired
 /// jobs.
 constexpr Duration PeriodicInterval{100};
@@ -290,7 +293,9 @@
   if (this->RoundRequested || !this->CurrentTerm || this->CurrentTerm->Loading)
     return;
   this->RoundRequested = true;
-  this->RoundTimer.expires_after(std::chrono::milliseconds(RoundDelay.Ms));
+  const Duration Delay =
+      std::clamp(this->LastRoundTime, MinRoundDelay, MaxRoundDelay);
+  this->RoundTimer.expires_after(std::chrono::milliseconds(Delay.Ms));
   this->RoundTimer.async_wait([this](asio::error_code Cancelled) {
     this->RoundRequested = false;
     if (!Cancelled && this->CurrentTerm && !this->CurrentTerm->Loading)
@@ -300,7 +305,8 @@
 
 void Dispatcher::runRound() {
   const TermPtr Term = this->CurrentTerm;
-  Term->Table.unlockDueSteps(this->Time.monotonic(), this->Time.wall().Ms);
+  const Instant StartedAt = this->Time.monotonic();
+  Term->Table.unlockDueSteps(StartedAt, this->Time.wall().Ms);
   this->preemptOnDrainingWorkers(*Term);
   this->moveRefusedMembers(*Term);
   this->reserveForUrgent(*Term);
@@ -309,6 +315,8 @@
   this->logEvents(*Term);
   if (!Term->Flushing)
     spawnCoroutine(this->Io, "flush", this->flush(Term));
+  this->LastRoundTime = this->Time.monotonic() - StartedAt;
+  entryMetrics().RoundMs.record(static_cast<double>(this->LastRoundTime.Ms));
 }
 
 PlanningView Dispatcher::planningView(OwnershipTerm &Term, Instant Now) const {
@@ -332,7 +340,7 @@
   for (Unit *Entry : Plan.DroppedClaims)
     Term.Table.dropClaim(*Entry, Now, "not_released");
   for (const UnitClaim &Entry : Plan.Claims)
-    Term.Table.claim(*Entry.Beneficiary, Entry.Claim, Now);
+    JobTable::claim(*Entry.Beneficiary, Entry.Claim);
   for (const UnitPlacement &Start : Plan.Starts)
     Term.Table.place(*Start.Placed, Start.Places, Now);
   for (const UnitReservation &Entry : Plan.Reservations)
@@ -396,7 +404,10 @@
                              (PlacedMember.Phase == MemberPhase::Running ||
                               PlacedMember.Phase == MemberPhase::Adopted);
       const auto Worker = Term->Workers.find(PlacedMember.Worker);
-      if (Stoppable && Worker != Term->Workers.end())
+      const bool Sending =
+          Stoppable &&
+          Term->PendingStops.contains({Entry->taskName(Index), Entry->Run});
+      if (Stoppable && !Sending && Worker != Term->Workers.end())
         spawnCoroutine(this->Io, "stop_task",
                        this->stopTask(Term, Worker->second,
                                       Entry->taskName(Index), Entry->Run));
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -23,6 +23,8 @@
 /// The journal counts as up to date when its last read was answered within this
 /// time: the longest wait of a read and a slow answer.
 constexpr Duration JournalFreshness{2'000};
+/// How long an instance reads on before it claims the ownership.
+constexpr Duration ClaimRefreshTimeout{400};
 /// Until the load balancer has removed this instance: it checks readiness every
 /// second and removes an instance after two failed checks.
 constexpr Duration BalancerRemovalTime{2'500};
@@ -107,7 +109,10 @@
              this->Journal.setReadPause(FollowerReadPause);
            },
            [this] { return this->Journal.position(); },
-           [this] { return this->journalReadable(); }}),
+           [this] { return this->journalReadable(); },
+           [this]() -> asio::awaitable<void> {
+             co_await this->Journal.refresh(ClaimRefreshTimeout);
+           }}),
       Api(Time, this->Desired, this->JobStatuses, this->Journal, *this->Writer),
       CallerServer(Io,
                    [this](HttpRequest Request) {
--- a/src/pistachioflow/entry/ownership.cpp
+++ b/src/pistachioflow/entry/ownership.cpp
@@ -42,7 +42,7 @@
 
 bool shouldClaim(const OwnershipView &View, const OwnershipTimes &Times,
                  Duration Jitter, Instant Now) {
-  if (View.ShuttingDown || !View.Readable)
+  if (View.ShuttingDown || !View.Readable || Now < View.NoClaimBefore)
     return false;
   const Duration Delay = claimDelay(Times, View.MilliCores) + Jitter;
   if (View.VacantSince.Ms != 0)
@@ -84,7 +84,12 @@
     }
     if (!shouldClaim(this->View, this->Times, Jitter, Now))
       continue;
-    co_await this->claim();
+    // Submissions move the end of a busy journal, and the owner's records may
+    // be among them.
+    if (this->View.VacantSince.Ms == 0)
+      co_await this->Hooks.RefreshJournal();
+    if (shouldClaim(this->View, this->Times, Jitter, this->Time.monotonic()))
+      co_await this->claim();
     Jitter = {static_cast<std::int64_t>(this->Random() % Range)};
   }
 }
@@ -121,6 +126,11 @@
     End = this->Hooks.JournalPosition();
   const AppendAnswer Answer = co_await this->Store.append(
       std::move(Topic), Records, std::move(Claimer), End, ClaimTimeout);
+  const bool Rejected = Answer.Outcome == AppendOutcome::Fenced ||
+                        Answer.Outcome == AppendOutcome::WrongSequence;
+  if (Rejected)
+    this->View.NoClaimBefore =
+        this->Time.monotonic() + this->Times.RejectedClaimPause;
   logEvent(LogLevel::Info, "ownership_claimed",
            {{"epoch", this->ClaimedEpoch},
             {"previous", this->View.NewestRecord.Instance},
--- a/src/pistachioflow/entry/ownership_test.cpp
+++ b/src/pistachioflow/entry/ownership_test.cpp
@@ -20,6 +20,7 @@
     std::int64_t OwnerMilliCores;
     bool ShouldClaim;
     std::int64_t VacantMs = 9'000; ///< Where vacant; before now.
+    std::int64_t PausedMs = -1;    ///< A rejected claim's pause; from now.
   };
   const auto Case = GENERATE(
       Row{"never owned", 0, false, true, false, 9'000, 9'000, 0, true},
@@ -29,6 +30,11 @@
           OurMilliCores, true, 200},
       Row{"resigned a moment ago", 3, true, true, false, 10, 9'000,
           OurMilliCores, false, 100},
+      // Many instances claim at once; the rejected ones must not go on.
+      Row{"resigned, claim just rejected", 3, true, true, false, 10, 9'000,
+          OurMilliCores, false, 200, 100},
+      Row{"lost, claim just rejected", 3, false, true, false, 1'700, 9'000,
+          OurMilliCores, false, 0, 100},
       Row{"responsive", 3, false, true, false, 400, 9'000, OurMilliCores,
           false},
       Row{"lost", 3, false, true, false, 1'700, 9'000, OurMilliCores, true},
@@ -56,6 +62,7 @@
   View.Readable = Case.Readable;
   View.ShuttingDown = Case.ShuttingDown;
   View.LastRecordAt = Now - Duration{Case.LastRecordMs};
+  View.NoClaimBefore = Now + Duration{Case.PausedMs};
   if (needsSuccessor(View.NewestRecord, "us/2"))
     View.VacantSince = Now - Duration{Case.VacantMs};
   View.ReadableSince = Now - Duration{Case.ReadableMs};
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -30,8 +30,14 @@
   });
 }
 
+PlaceRecord placeOn(const PlanningView &View, std::string_view Worker) {
+  return {std::string(Worker),
+          View.Workers.find(Worker)->second->IncarnationStartMs};
+}
+
 std::vector<PlacementWorker> collectWorkers(const PlanningView &View) {
   std::vector<PlacementWorker> Workers;
+  Workers.reserve(View.Workers.size());
   for (const auto &[Id, Link] : View.Workers) {
     PlacementWorker Worker;
     Worker.Id = Id;
@@ -131,7 +137,7 @@
 std::vector<PlacedUnit> collectPlaced(const PlanningView &View,
                                       std::span<Unit *const> Active,
                                       std::vector<PlacementWorker> &Workers) {
-  std::unordered_map<std::string, std::size_t> IndexOf;
+  std::unordered_map<std::string_view, std::size_t> IndexOf;
   for (std::size_t Index = 0; Index < Workers.size(); ++Index)
     IndexOf[Workers[Index].Id] = Index;
   std::vector<PlacedUnit> Placed;
@@ -184,8 +190,11 @@
   Entry.Step = &Waiting.spec();
   Entry.TaskCount = Waiting.TaskCount;
   Entry.AvoidedWorkers = &Waiting.FailedWorkers;
+  // By then, stops would have ended instead.
+  Entry.ClaimOverdue = !Waiting.Claim.Workers.empty() &&
+                       View.Now - Waiting.Claim.At > View.StopTimeout;
   Entry.WaitsForExpectedEnds =
-      View.Now - Waiting.ReadySince < View.ReclaimAfter;
+      View.Now - Waiting.ReadySince < View.ReclaimAfter && !Entry.ClaimOverdue;
   const std::int64_t Failures = Waiting.Attempts.failures();
   Entry.LastAttempt = Failures > 0 && !Waiting.spec().LongRunning &&
                       Failures + 1 >= Job.Submission.Terms.MaxAttempts;
@@ -229,8 +238,17 @@
     Unit *Waiting;
   };
   std::vector<Ranked> List;
-  for (Unit *Unit : View.Table.placeable(View.Now))
-    List.push_back({rankOf(View, *Unit), Unit});
+  // The tasks of a step share their rank.
+  std::map<std::pair<const Job *, std::pair<std::int64_t, std::size_t>>,
+           QueueRank>
+      Ranks;
+  for (Unit *Unit : View.Table.placeable(View.Now)) {
+    const auto [Entry, Added] =
+        Ranks.try_emplace({Unit->ParentJob, {Unit->Occurrence, Unit->Step}});
+    if (Added)
+      Entry->second = rankOf(View, *Unit);
+    List.push_back({Entry->second, Unit});
+  }
   std::ranges::sort(List, [](const Ranked &Left, const Ranked &Right) {
     if (Left.Rank != Right.Rank)
       return Left.Rank < Right.Rank;
@@ -297,12 +315,13 @@
   /// Later than this, the run has slowed down.
   constexpr std::int64_t MaxOverdueMs = 300;
   const std::int64_t RunMs = (View.Now - Unit.PlacedAt).Ms;
-  const std::int64_t Expected = View.Durations.expectedMs(
-      Unit.ParentJob->Submission.Queue, Unit.spec().EstimatedMs);
   std::int64_t ByProgress = 0;
   for (const Member &Peer : Unit.Members) {
-    if (Peer.ProgressPercent < MinReliablePercent)
+    if (Peer.ProgressPercent < MinReliablePercent) {
+      const std::int64_t Expected = View.Durations.expectedMs(
+          Unit.ParentJob->Submission.Queue, Unit.spec().EstimatedMs);
       return {{std::max(Expected - RunMs, MinRemainingMs)}, false};
+    }
     const std::int64_t TookMs = (Peer.ReportedAt - Unit.PlacedAt).Ms;
     const std::int64_t AtReport =
         TookMs * (WholePercent - Peer.ProgressPercent) / Peer.ProgressPercent;
@@ -322,7 +341,7 @@
       if (Workers.empty())
         Workers = collectWorkers(View);
       const WaitingUnit Gang = describeWaiting(View, *Unit);
-      std::vector<std::string> Racks;
+      std::vector<std::string_view> Racks;
       for (const Member &Other : Unit->Members)
         if (const auto Link = View.Workers.find(Other.Worker);
             Other.occupiesCapacity() && Link != View.Workers.end())
@@ -336,9 +355,7 @@
       }
       PlacementWorker &Target = Workers[*Worker];
       Target.FreeNow = Target.FreeNow - Unit->spec().TaskResources;
-      Plan.Moves.push_back(
-          {{Unit, Index},
-           {Target.Id, View.Workers.at(Target.Id)->IncarnationStartMs}});
+      Plan.Moves.push_back({{Unit, Index}, placeOn(View, Target.Id)});
     }
   return Plan;
 }
@@ -364,31 +381,40 @@
   applyEarlierReservations(View, Units, Waiting, Workers);
   const PlacementPlan Plan =
       planPlacement(Workers, Waiting, Placed, guaranteeUses(View, Active));
+  const auto ClaimsAnew = [&](const Unit *Waiting) {
+    return std::ranges::any_of(Plan.Claims, [&](const PlannedClaim &Entry) {
+      return Units[Entry.WaitingIndex] == Waiting;
+    });
+  };
   for (Unit *Unit : Units)
-    if (claimExpired(View, *Unit))
+    if (claimExpired(View, *Unit) && !ClaimsAnew(Unit))
       Result.DroppedClaims.push_back(Unit);
   for (const std::size_t Index : Plan.DroppedClaims)
-    Result.DroppedClaims.push_back(Units[Index]);
+    if (!ClaimsAnew(Units[Index]))
+      Result.DroppedClaims.push_back(Units[Index]);
   for (const PlannedClaim &Entry : Plan.Claims) {
     CapacityClaim Claim{{}, {}, View.Now};
     for (const std::size_t Worker : Entry.WorkerIndices)
-      Claim.Workers.push_back(Workers[Worker].Id);
+      Claim.Workers.emplace_back(Workers[Worker].Id);
     for (const PlannedPreemption &Stop : Plan.Preemptions)
       if (Stop.WaitingIndex == Entry.WaitingIndex)
-        Claim.VictimWorkers.push_back(Workers[Stop.WorkerIndex].Id);
+        Claim.VictimWorkers.emplace_back(Workers[Stop.WorkerIndex].Id);
+    // What was preempted for an earlier claim of the unit serves this one.
+    const CapacityClaim &Earlier = Units[Entry.WaitingIndex]->Claim;
+    Claim.VictimWorkers.insert(Claim.VictimWorkers.end(),
+                               Earlier.VictimWorkers.begin(),
+                               Earlier.VictimWorkers.end());
     Result.Claims.push_back({Units[Entry.WaitingIndex], std::move(Claim)});
   }
   for (const PlannedReservation &Entry : Plan.Reservations) {
     Result.Reservations.push_back({Units[Entry.WaitingIndex], {}});
     for (const std::size_t Worker : Entry.WorkerIndices)
-      Result.Reservations.back().Workers.push_back(Workers[Worker].Id);
+      Result.Reservations.back().Workers.emplace_back(Workers[Worker].Id);
   }
   for (const PlannedStart &Start : Plan.Starts) {
     UnitPlacement Entry{Units[Start.WaitingIndex], {}};
     for (const std::size_t Worker : Start.WorkerIndices)
-      Entry.Places.push_back(
-          {Workers[Worker].Id,
-           View.Workers.at(Workers[Worker].Id)->IncarnationStartMs});
+      Entry.Places.push_back(placeOn(View, Workers[Worker].Id));
     Result.Starts.push_back(std::move(Entry));
   }
   for (const PlannedPreemption &Entry : Plan.Preemptions)
--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -27,19 +27,49 @@
   return Left.LeftoverCores < Right.LeftoverCores;
 }
 
-/// Assigns tasks to the candidates in order until every task has a worker.
-std::optional<WorkerChoice> fill(std::span<const CandidateWorker> Candidates,
+/// Returns the eligible workers where at least one task fits, in the order of
+/// the workers.
+std::vector<CandidateWorker>
+collectCandidates(WorkerSpan Workers, const WaitingUnit &Unit,
+                  Resources PlacementWorker::*Free) {
+  std::vector<CandidateWorker> Result;
+  for (std::size_t Index = 0; Index < Workers.size(); ++Index) {
+    const PlacementWorker &Worker = Workers[Index];
+    if (!isEligible(Worker, Unit))
+      continue;
+    const Resources &Available = Worker.*Free;
+    const std::int64_t Tasks = tasksFor(Worker, Unit, Available);
+    if (Tasks <= 0)
+      continue;
+    const Resources &PerTask = Unit.Step->TaskResources;
+    Result.push_back(
+        {Index, Tasks, Available.Accelerators - PerTask.Accelerators,
+         Available.MilliCores - PerTask.MilliCores, isAvoided(Worker, Unit)});
+  }
+  return Result;
+}
+
+/// Assigns tasks to the best candidates until every task has a worker. Sorts
+/// only where it has to: most units of a full queue don't fit.
+std::optional<WorkerChoice> fill(std::vector<CandidateWorker> Candidates,
                                  std::int64_t Tasks) {
+  std::int64_t Fitting = 0;
+  for (const CandidateWorker &Entry : Candidates)
+    Fitting += std::min(Entry.Tasks, Tasks);
+  if (Fitting < Tasks)
+    return std::nullopt;
+  if (Tasks == 1)
+    return WorkerChoice{
+        std::ranges::min_element(Candidates, betterCandidate)->Worker};
+  std::ranges::stable_sort(Candidates, betterCandidate);
   WorkerChoice Chosen;
   for (const CandidateWorker &Entry : Candidates) {
     const std::int64_t Missing =
         Tasks - static_cast<std::int64_t>(Chosen.size());
     const std::int64_t Added = std::min(Missing, Entry.Tasks);
     Chosen.insert(Chosen.end(), static_cast<std::size_t>(Added), Entry.Worker);
-    if (static_cast<std::int64_t>(Chosen.size()) == Tasks)
-      return Chosen;
   }
-  return std::nullopt;
+  return Chosen;
 }
 
 } // namespace
@@ -79,27 +109,18 @@
 std::vector<CandidateWorker> findCandidates(WorkerSpan Workers,
                                             const WaitingUnit &Unit,
                                             Resources PlacementWorker::*Free) {
-  std::vector<CandidateWorker> Result;
-  for (std::size_t Index = 0; Index < Workers.size(); ++Index) {
-    const PlacementWorker &Worker = Workers[Index];
-    if (!isEligible(Worker, Unit))
-      continue;
-    const Resources &Available = Worker.*Free;
-    const std::int64_t Tasks = tasksFor(Worker, Unit, Available);
-    if (Tasks <= 0)
-      continue;
-    const Resources &PerTask = Unit.Step->TaskResources;
-    Result.push_back(
-        {Index, Tasks, Available.Accelerators - PerTask.Accelerators,
-         Available.MilliCores - PerTask.MilliCores, isAvoided(Worker, Unit)});
-  }
+  std::vector<CandidateWorker> Result = collectCandidates(Workers, Unit, Free);
   std::ranges::stable_sort(Result, betterCandidate);
   return Result;
 }
 
-std::vector<std::string> allowedRacks(WorkerSpan Workers,
-                                      const WaitingUnit &Unit) {
-  std::map<std::string, std::int64_t> TasksByRack;
+std::vector<std::string_view> allowedRacks(WorkerSpan Workers,
+                                           const WaitingUnit &Unit) {
+  const bool OneRack =
+      Unit.Step->Gang && Unit.Step->TightlyCoupled && Unit.TaskCount > 1;
+  if (!OneRack && Unit.Step->DataRack.empty())
+    return {};
+  std::map<std::string_view, std::int64_t> TasksByRack;
   for (const PlacementWorker &Worker : Workers)
     if (isEligible(Worker, Unit))
       TasksByRack[Worker.Rack] += tasksFor(Worker, Unit, Worker.Capacity);
@@ -109,37 +130,37 @@
       !DataRack.empty() && Data != TasksByRack.end() && Data->second > 0;
   if (DataRackExists && (!Unit.Step->Gang || Data->second >= Unit.TaskCount))
     return {DataRack};
-  const bool OneRack =
-      Unit.Step->Gang && Unit.Step->TightlyCoupled && Unit.TaskCount > 1;
   if (!OneRack)
     return {};
-  std::vector<std::string> Racks;
+  std::vector<std::string_view> Racks;
   for (const auto &[Rack, Tasks] : TasksByRack)
     if (Tasks >= Unit.TaskCount)
       Racks.push_back(Rack);
   return Racks;
 }
 
-std::optional<WorkerChoice> chooseWorkers(WorkerSpan Workers,
-                                          const WaitingUnit &Unit,
-                                          std::span<const std::string> Racks,
-                                          Resources PlacementWorker::*Free) {
-  const std::vector<CandidateWorker> All = findCandidates(Workers, Unit, Free);
+std::optional<WorkerChoice>
+chooseWorkers(WorkerSpan Workers, const WaitingUnit &Unit,
+              std::span<const std::string_view> Racks,
+              Resources PlacementWorker::*Free) {
+  std::vector<CandidateWorker> All = collectCandidates(Workers, Unit, Free);
   if (Racks.empty())
-    return fill(All, Unit.TaskCount);
+    return fill(std::move(All), Unit.TaskCount);
+  std::map<std::string_view, std::vector<CandidateWorker>> ByRack;
+  for (const CandidateWorker &Entry : All)
+    ByRack[Workers[Entry.Worker].Rack].push_back(Entry);
   std::optional<WorkerChoice> Best;
   std::int64_t LeastFreeTasks = UnlimitedTasks;
-  for (const std::string &Rack : Racks) {
-    std::vector<CandidateWorker> Inside;
+  for (const std::string_view Rack : Racks) {
+    std::vector<CandidateWorker> &Inside = ByRack[Rack];
     std::int64_t FreeTasks = 0;
-    for (const CandidateWorker &Entry : All) {
-      if (Workers[Entry.Worker].Rack != Rack)
-        continue;
-      Inside.push_back(Entry);
+    for (const CandidateWorker &Entry : Inside)
       FreeTasks += Entry.Tasks + (Entry.Avoided ? Unit.TaskCount : 0);
-    }
-    std::optional<WorkerChoice> Chosen = fill(Inside, Unit.TaskCount);
-    if (!Chosen || FreeTasks >= LeastFreeTasks)
+    if (FreeTasks >= LeastFreeTasks)
+      continue;
+    std::optional<WorkerChoice> Chosen =
+        fill(std::move(Inside), Unit.TaskCount);
+    if (!Chosen)
       continue;
     Best = std::move(Chosen);
     LeastFreeTasks = FreeTasks;
--- a/src/pistachioflow/sched/candidate_workers.hpp
+++ b/src/pistachioflow/sched/candidate_workers.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "pistachioflow/sched/placement.hpp"
@@ -43,14 +44,14 @@
                const WaitingUnit &Unit, Resources PlacementWorker::*Free);
 
 /// Returns the racks a unit may use, by name. Empty means any worker.
-std::vector<std::string> allowedRacks(std::span<const PlacementWorker> Workers,
-                                      const WaitingUnit &Unit);
+std::vector<std::string_view>
+allowedRacks(std::span<const PlacementWorker> Workers, const WaitingUnit &Unit);
 
 /// Chooses workers by one of their free amounts. Of several possible racks,
 /// prefers the one with room for the fewest of these tasks.
 std::optional<WorkerChoice>
 chooseWorkers(std::span<const PlacementWorker> Workers, const WaitingUnit &Unit,
-              std::span<const std::string> Racks,
+              std::span<const std::string_view> Racks,
               Resources PlacementWorker::*Free);
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -325,8 +325,7 @@
                     (Now - Unit.ReadySince).Ms);
 }
 
-void JobTable::claim(Unit &Unit, CapacityClaim Claim, Instant Now) {
-  this->dropClaim(Unit, Now, "replaced");
+void JobTable::claim(Unit &Unit, CapacityClaim Claim) {
   Unit.Claim = std::move(Claim);
 }
 
--- a/src/pistachioflow/sched/job_table_records.cpp
+++ b/src/pistachioflow/sched/job_table_records.cpp
@@ -59,13 +59,12 @@
 void JobTable::expire(std::int64_t BeforeWallMs) {
   for (auto Entry = this->Jobs.begin(); Entry != this->Jobs.end();) {
     const Job &Job = Entry->second;
-    const bool HasActiveUnits =
-        std::ranges::any_of(this->Active, [&Job](const Unit *Unit) {
-          return Unit->ParentJob == &Job;
-        });
     const bool Old = hasEnded(Job.Phase) && Job.EndedWallMs > 0 &&
                      Job.EndedWallMs < BeforeWallMs;
-    if (!Old || HasActiveUnits) {
+    const auto BelongsToJob = [&Job](const Unit *Unit) {
+      return Unit->ParentJob == &Job;
+    };
+    if (!Old || std::ranges::any_of(this->Active, BelongsToJob)) {
       ++Entry;
       continue;
     }
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -48,6 +48,14 @@
   }
 }
 
+bool fitsAfterStops(std::span<const PlacementWorker> Workers,
+                    const WorkerChoice &Chosen, const Resources &PerTask) {
+  return std::ranges::all_of(Chosen, [&](std::size_t Index) {
+    return fittingTasks(Workers[Index].FreeAfterStops, PerTask) >=
+           std::ranges::count(Chosen, Index);
+  });
+}
+
 /// One placement round. Updates the free amounts of the workers as it goes.
 class Round {
 public:
@@ -80,11 +88,22 @@
   /// Withholds the capacity of valid claims from all other units, so that what
   /// was preempted for a unit serves no other.
   void holdClaims() {
-    for (std::size_t Index = 0; Index < this->Waiting.size(); ++Index) {
+    std::vector<std::size_t> ByAge;
+    for (std::size_t Index = 0; Index < this->Waiting.size(); ++Index)
+      if (!this->Waiting[Index].ClaimedWorkers.empty())
+        ByAge.push_back(Index);
+    std::ranges::stable_sort(ByAge, {}, [this](std::size_t Index) {
+      return this->Waiting[Index].ClaimedAt;
+    });
+    for (const std::size_t Index : ByAge) {
       const WaitingUnit &Unit = this->Waiting[Index];
-      if (Unit.ClaimedWorkers.empty())
-        continue;
       this->Held[Index] = this->findWorkers(Unit, Unit.ClaimedWorkers);
+      const bool ReliesOnOverdueEnds =
+          this->Held[Index] && Unit.ClaimOverdue &&
+          !fitsAfterStops(this->Workers, *this->Held[Index],
+                          countedDemand(*Unit.Step));
+      if (ReliesOnOverdueEnds)
+        this->Held[Index].reset();
       if (!this->Held[Index]) {
         this->Plan.DroppedClaims.push_back(Index);
         continue;
@@ -120,7 +139,8 @@
     const Resources PerTask = countedDemand(*Unit.Step);
     if (this->Held[Index])
       return this->tryHeld(Index);
-    const std::vector<std::string> Racks = allowedRacks(this->Workers, Unit);
+    const std::vector<std::string_view> Racks =
+        allowedRacks(this->Workers, Unit);
     if (auto Chosen = chooseWorkers(this->Workers, Unit, Racks,
                                     &PlacementWorker::FreeNow)) {
       this->start(Index, std::move(*Chosen));
@@ -203,7 +223,7 @@
     Rest.TaskCount -= static_cast<std::int64_t>(Chosen.size());
     if (Rest.TaskCount == 0)
       return Chosen;
-    std::vector<std::string> Racks = allowedRacks(this->Workers, Unit);
+    std::vector<std::string_view> Racks = allowedRacks(this->Workers, Unit);
     if (!Racks.empty())
       Racks = {Left[Claimed.front()].Rack};
     const auto Others =
@@ -223,7 +243,7 @@
     this->Plan.Starts.push_back({Index, std::move(Chosen)});
   }
 
-  void reserveFor(std::size_t Index, std::span<const std::string> Racks) {
+  void reserveFor(std::size_t Index, std::span<const std::string_view> Racks) {
     const WaitingUnit &Unit = this->Waiting[Index];
     std::optional<WorkerChoice> Chosen =
         this->findWorkers(Unit, Unit.ReservedWorkers);
@@ -277,7 +297,7 @@
     Worker.FreeAfterExpectedEnds = Worker.FreeAfterExpectedEnds + PerTask;
   }
 
-  void preemptFor(std::size_t Index, std::span<const std::string> Racks) {
+  void preemptFor(std::size_t Index, std::span<const std::string_view> Racks) {
     const WaitingUnit &Unit = this->Waiting[Index];
     const std::int64_t Needed = acceleratorsOf(Unit);
     const bool MayReclaim =
@@ -325,14 +345,14 @@
 
 std::optional<std::size_t>
 planReplacement(std::span<PlacementWorker> Workers, const WaitingUnit &Gang,
-                std::span<const std::string> OtherRacks) {
+                std::span<const std::string_view> OtherRacks) {
   const bool OneRack = Gang.Step->TightlyCoupled && !OtherRacks.empty();
   const bool NearData =
       !Gang.Step->DataRack.empty() &&
       std::ranges::find(OtherRacks, Gang.Step->DataRack) != OtherRacks.end();
   for (const CandidateWorker &Entry :
        findCandidates(Workers, Gang, &PlacementWorker::FreeNow)) {
-    const std::string &Rack = Workers[Entry.Worker].Rack;
+    const std::string_view Rack = Workers[Entry.Worker].Rack;
     const bool Allowed = (!OneRack || Rack == OtherRacks.front()) &&
                          (!NearData || Rack == Gang.Step->DataRack);
     if (Allowed && !Entry.Avoided)
--- a/src/pistachioflow/sched/preemption.cpp
+++ b/src/pistachioflow/sched/preemption.cpp
@@ -30,13 +30,14 @@
   }
 
   /// Finds a cheap set of preemptions on workers of \p Rack, task by task;
-  /// empty means any rack. Leaves out capacity that only expected ends would
-  /// free: if one is late, the victims were stopped too early.
+  /// empty means any rack.
   std::optional<Preemption> plan(std::string_view Rack) const {
     Preemption Planned;
     std::vector<Resources> Available;
     for (const PlacementWorker &Worker : this->Workers)
-      Available.push_back(Worker.FreeAfterStops);
+      Available.push_back(this->Unit.WaitsForExpectedEnds
+                              ? Worker.FreeAfterExpectedEnds
+                              : Worker.FreeAfterStops);
     std::vector<std::int64_t> TasksOn(this->Workers.size(), 0);
     while (static_cast<std::int64_t>(Planned.Chosen.size()) <
            this->Unit.TaskCount)
@@ -172,13 +173,14 @@
          static_cast<std::int64_t>(Unit.WorkerIndices.size());
 }
 
-std::optional<Preemption> planPreemption(const PreemptionInputs &Inputs,
-                                         std::span<const std::string> Racks) {
+std::optional<Preemption>
+planPreemption(const PreemptionInputs &Inputs,
+               std::span<const std::string_view> Racks) {
   const PreemptionPlanner Planner(Inputs);
   if (Racks.empty())
     return Planner.plan({});
   std::optional<Preemption> Best;
-  for (const std::string &Rack : Racks) {
+  for (const std::string_view Rack : Racks) {
     std::optional<Preemption> Planned = Planner.plan(Rack);
     if (Planned && (!Best || Planned->Cost < Best->Cost))
       Best = std::move(Planned);
--- a/src/pistachioflow/sched/preemption.hpp
+++ b/src/pistachioflow/sched/preemption.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "candidate_workers.hpp"
@@ -44,7 +45,8 @@
 /// on one of \p Racks or on any worker if empty. Returns nothing if there is
 /// none: a unit that does not fit as a whole preempts nothing. Thread safety:
 /// pure.
-std::optional<Preemption> planPreemption(const PreemptionInputs &Inputs,
-                                         std::span<const std::string> Racks);
+std::optional<Preemption>
+planPreemption(const PreemptionInputs &Inputs,
+               std::span<const std::string_view> Racks);
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/reservation.cpp
+++ b/src/pistachioflow/sched/reservation.cpp
@@ -60,13 +60,13 @@
 std::optional<Choice> planReservation(std::span<const PlacementWorker> Workers,
                                       const WaitingUnit &Gang,
                                       std::span<const PlacedUnit> Placed,
-                                      std::span<const std::string> Racks) {
+                                      std::span<const std::string_view> Racks) {
   const std::vector<std::vector<Release>> Releases =
       releasesOf(Workers.size(), Placed);
   const auto Needed = static_cast<std::size_t>(Gang.TaskCount);
   std::optional<Choice> Best;
   std::int64_t BestMs = std::numeric_limits<std::int64_t>::max();
-  const auto Consider = [&](const std::string *Rack) {
+  const auto Consider = [&](const std::string_view *Rack) {
     std::vector<Opening> Openings;
     for (std::size_t Index = 0; Index < Workers.size(); ++Index) {
       const bool Allowed = !Rack || Workers[Index].Rack == *Rack;
@@ -86,7 +86,7 @@
   };
   if (Racks.empty())
     Consider(nullptr);
-  for (const std::string &Rack : Racks)
+  for (const std::string_view Rack : Racks)
     Consider(&Rack);
   return Best;
 }
