--- a/include/pistachioflow/entry/journal_writer.hpp
+++ b/include/pistachioflow/entry/journal_writer.hpp
@@ -29,6 +29,14 @@
   Duration Unanswered{2'500}; ///< Reports Unknown after this long.
 };
 
+/// Returns the timeouts of a write while the store answers, but slowly.
+///
+/// Load pattern: a store whose answers take 50 times as long. A write then
+/// waits for the append before it as well as for its own; giving up early
+/// refuses callers whom the store could serve. Thread safety: pure.
+WriteTimeouts extendTimeouts(const WriteTimeouts &Timeouts,
+                             Duration LastAppendTime);
+
 /// Appends records to the journal, and batches those of several callers.
 ///
 /// An append without an answer is repeated with the same sequence number until
@@ -86,6 +94,7 @@
   std::vector<std::shared_ptr<PendingWrite>> Batch;
   Instant FailingSince;
   Instant CheckedAt;
+  Duration LastAppendTime{0}; ///< Of the newest append that was answered.
   bool AppendLoopRunning = false;
   bool ProbeLoopRunning = false;
 };
--- a/include/pistachioflow/entry/ownership.hpp
+++ b/include/pistachioflow/entry/ownership.hpp
@@ -101,8 +101,8 @@
   /// Applies an ownership record of the journal.
   void apply(const OwnershipRecord &Record);
 
-  /// Asks for a successor and never claims again. An owner goes on until the
-  /// successor's claim is read, or until lose().
+  /// Asks for a successor and never claims again. An owner continues until
+  /// the successor's claim is read, or until lose().
   void resign();
 
   /// Gives up ownership without a record, for instance because a newer owner
--- a/include/pistachioflow/sched/attempt_history.hpp
+++ b/include/pistachioflow/sched/attempt_history.hpp
@@ -10,21 +10,21 @@
 
 namespace pistachioflow {
 
-/// A run that was taken as ended although its worker could not report it. It
+/// A run that is presumed to have ended, on a worker that cannot be reached. It
 /// may have failed.
 struct PresumedEnd {
   std::string Worker;
   std::int64_t Run = 0;
-  /// The worker's lease has expired by then; a failure that is reported later
-  /// is no attempt.
+  /// By then the run's lease has expired. A failure that is reported later does
+  /// not count.
   Instant LeaseEnds;
 };
 
 /// The runs of a unit that count, or may count, as failed attempts.
 ///
 /// Load pattern: workers that are cut off while gangs run on them. The other
-/// members show that the gang has ended, but not that it failed on a worker
-/// that is out of reach. Thread safety: none.
+/// members show that the gang has ended, but not whether it failed on the
+/// unreachable worker. Thread safety: none.
 struct AttemptHistory {
   std::vector<std::int64_t> FailedRuns; ///< Numbers, each once.
   std::vector<PresumedEnd> PresumedEnds;
@@ -38,16 +38,17 @@
 /// Returns whether it was not counted before.
 bool countFailure(AttemptHistory &History, std::int64_t Run);
 
-/// Notes that \p Run is taken as ended on an unresponsive worker.
+/// Records that \p Run is presumed to have ended on an unresponsive worker.
 void presumeEnd(AttemptHistory &History, std::string_view Worker,
                 std::int64_t Run, Instant LeaseEnds);
 
-/// Ends the doubt about a run: its worker has reported it, or no longer has it.
+/// Removes a presumed end: the worker has reported it, or no longer has the
+/// run.
 void resolvePresumedEnd(AttemptHistory &History, std::string_view Worker,
                         std::int64_t Run);
 
-/// Whether one more run stays within \p MaxAttempts, even if every run in doubt
-/// has failed.
+/// Whether one more run stays within \p MaxAttempts, even if every run that is
+/// presumed to have ended has failed.
 bool mayRunAgain(const AttemptHistory &History, std::int64_t MaxAttempts,
                  Instant Now);
 
--- a/include/pistachioflow/sched/records.hpp
+++ b/include/pistachioflow/sched/records.hpp
@@ -70,7 +70,7 @@
 };
 
 /// A single task or a gang: its newest run and the state retained across runs.
-/// A run that was taken as ended on a worker that could not report it.
+/// A run that is presumed to have ended, on a worker that cannot be reached.
 struct PresumedEndRecord {
   std::string Worker;
   std::int64_t Run = 0;
--- a/src/pistachioflow/entry/journal_writer.cpp
+++ b/src/pistachioflow/entry/journal_writer.cpp
@@ -14,6 +14,12 @@
 /// lost.
 constexpr Duration AppendTimeout{700};
 constexpr Duration RetryDelay{50};
+/// Time that a write leaves for the append before it and its own, in appends.
+constexpr std::int64_t AppendsPerWrite = 4;
+/// Appends that take less need no extension of the timeouts.
+constexpr Duration SlowAppendTime{100};
+/// Callers wait about 3 s in all.
+constexpr Duration MaxExtension{1'200};
 /// Longest time between two checks of a write's timeouts.
 constexpr Duration TimeoutCheckInterval{100};
 /// A probe that hangs when an outage ends delays the next one by its timeout:
@@ -31,6 +37,15 @@
 
 } // namespace
 
+WriteTimeouts extendTimeouts(const WriteTimeouts &Timeouts,
+                             Duration LastAppendTime) {
+  if (LastAppendTime < SlowAppendTime)
+    return Timeouts;
+  const Duration Extension =
+      std::min(LastAppendTime * AppendsPerWrite, MaxExtension);
+  return {Timeouts.Refused + Extension, Timeouts.Unanswered + Extension};
+}
+
 struct JournalWriter::PendingWrite {
   explicit PendingWrite(asio::io_context &Io) : Finished(Io) {}
 
@@ -61,7 +76,10 @@
   while (!Pending->Resolved) {
     co_await Pending->Finished.wait(TimeoutCheckInterval);
     const Duration Waited = this->Time.monotonic() - Pending->SubmittedAt;
-    if (Pending->Resolved || Waited <= Timeouts.Refused)
+    const bool Answering = this->FailingSince.Ms == 0;
+    const WriteTimeouts Limits =
+        Answering ? extendTimeouts(Timeouts, this->LastAppendTime) : Timeouts;
+    if (Pending->Resolved || Waited <= Limits.Refused)
       continue;
     const auto Position =
         std::find(this->Queue.begin(), this->Queue.end(), Pending);
@@ -70,7 +88,7 @@
       this->Queue.erase(Position);
       co_return WriteOutcome::NotStored;
     }
-    if (Waited > Timeouts.Unanswered)
+    if (Waited > Limits.Unanswered)
       co_return WriteOutcome::Unknown;
   }
   co_return Pending->Outcome;
@@ -130,9 +148,11 @@
         std::move(Topic), Records, std::move(AppendProducer), NoExpectedEnd,
         AppendTimeout);
     entryMetrics().Appends.add();
+    if (isProcessed(Answer.Outcome))
+      this->LastAppendTime = this->Time.monotonic() - SentAt;
     if (Answer.Outcome == AppendOutcome::Appended) {
       entryMetrics().AppendMs.record(
-          static_cast<double>((this->Time.monotonic() - SentAt).Ms));
+          static_cast<double>(this->LastAppendTime.Ms));
       this->noteAnswer(Answer.Outcome);
       ++this->Sequence;
       this->resolveBatch(WriteOutcome::Stored);
--- a/src/pistachioflow/entry/ownership_test.cpp
+++ b/src/pistachioflow/entry/ownership_test.cpp
@@ -25,12 +25,12 @@
   const auto Case = GENERATE(
       Row{"never owned", 0, false, true, false, 9'000, 9'000, 0, true},
       Row{"resigned", 3, true, true, false, 200, 9'000, OurMilliCores, true},
-      // It goes on until a successor is there, and writes heartbeats.
+      // It continues until it has a successor, and writes heartbeats.
       Row{"resigned, still working", 3, true, true, false, 10, 9'000,
           OurMilliCores, true, 200},
       Row{"resigned a moment ago", 3, true, true, false, 10, 9'000,
           OurMilliCores, false, 100},
-      // Many instances claim at once; the rejected ones must not go on.
+      // Many instances claim at once; the rejected ones must pause.
       Row{"resigned, claim just rejected", 3, true, true, false, 10, 9'000,
           OurMilliCores, false, 200, 100},
       Row{"lost, claim just rejected", 3, false, true, false, 1'700, 9'000,
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -381,16 +381,16 @@
   applyEarlierReservations(View, Units, Waiting, Workers);
   const PlacementPlan Plan =
       planPlacement(Workers, Waiting, Placed, guaranteeUses(View, Active));
-  const auto ClaimsAnew = [&](const Unit *Waiting) {
+  const auto ClaimsAgain = [&](const Unit *Waiting) {
     return std::ranges::any_of(Plan.Claims, [&](const PlannedClaim &Entry) {
       return Units[Entry.WaitingIndex] == Waiting;
     });
   };
   for (Unit *Unit : Units)
-    if (claimExpired(View, *Unit) && !ClaimsAnew(Unit))
+    if (claimExpired(View, *Unit) && !ClaimsAgain(Unit))
       Result.DroppedClaims.push_back(Unit);
   for (const std::size_t Index : Plan.DroppedClaims)
-    if (!ClaimsAnew(Units[Index]))
+    if (!ClaimsAgain(Units[Index]))
       Result.DroppedClaims.push_back(Units[Index]);
   for (const PlannedClaim &Entry : Plan.Claims) {
     CapacityClaim Claim{{}, {}, View.Now};
--- a/src/pistachioflow/sched/job_table_attempts.cpp
+++ b/src/pistachioflow/sched/job_table_attempts.cpp
@@ -12,8 +12,8 @@
     this->endJob(*Unit.ParentJob, JobPhase::Failed, WallMs, Now, "attempts");
 }
 
-/// Counts the failure of a run that was taken as ended before its worker could
-/// report it.
+/// Counts the failure of a run that was presumed to have ended before its
+/// worker could report it.
 void JobTable::applyLateEnd(Unit &Unit, std::string_view Worker,
                             const EndedRun &End, Instant Now,
                             std::int64_t WallMs) {
@@ -31,8 +31,8 @@
   this->failIfExhausted(Unit, Now, WallMs);
 }
 
-/// Ends the doubt about runs that the worker no longer shows as running: it
-/// reports an end until it is acknowledged.
+/// Removes the presumed ends of runs that the worker no longer reports as
+/// running: it reports an end until it is acknowledged.
 void JobTable::resolvePresumedEnds(std::string_view Worker,
                                    const WorkerReport &Report) {
   const auto Match = this->PresumedEndsByWorker.find(std::string(Worker));
