--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -318,9 +318,133 @@
   return Result.Breaks.empty() ? 0 : 1;
 }
 
+// What follows is not among the cases; the report tells of it.
+
+/// Scenario 6: a gang's job completes while one of its runners is cut off; the
+/// runner comes back after the job's records have been dropped.
+asio::awaitable<void> lateReturn(World &Here, Verdict &Result) {
+  const std::size_t At = otherThan(Here, Here.owner());
+  TaskKind Member = task(4'000, 8, 2);
+  Member.Gang = true;
+  std::vector<TaskKind> Steps(1, Member);
+  Job &Gang = Here.addJob(0x5c0e7a21d94b3670, std::move(Steps));
+  co_await Here.submit(Gang, At);
+  co_await untilRunning(Here, Gang.Id, 2);
+  co_await Here.pause(2'000);
+  const std::string Cut = Here.Runs.back().Runner;
+  const auto ReachesOthers = [Cut](const Runner &Target, std::int64_t) {
+    return Target.Id != Cut;
+  };
+  if (withTrouble()) {
+    Here.Record.line("runner " + Cut + " is cut off");
+    Here.Runners.at(Cut).ReachesStore = false;
+    Here.Reaches = ReachesOthers;
+  }
+  // The records stay for status_s and a minute.
+  co_await Here.pause((Here.StatusS + 60) * 1'000 + 11'000);
+  Here.Record.line("runner " + Cut + " is back");
+  Here.Runners.at(Cut).ReachesStore = true;
+  Here.Reaches = [](const Runner &, std::int64_t) { return true; };
+  co_await Here.pause(5'000);
+  for (const auto &Entry : Here.Daemons)
+    if (Here.hasDied(*Entry))
+      Result.Breaks.push_back(Entry->Name + " has ended by itself");
+}
+
+/// Scenario 7: runners crash and start again under their ids as another kind.
+asio::awaitable<void> otherKind(World &Here) {
+  const std::size_t At = otherThan(Here, Here.owner());
+  std::uint64_t Number = 0x5c0e7a21d94b3680;
+  for (int Index = 0; Index < 24; ++Index) {
+    TaskKind Kind = task(6'000, 8);
+    Kind.RequiredLabel = "a";
+    std::vector<TaskKind> Steps(1, Kind);
+    Job &Entry = Here.addJob(Number++, std::move(Steps));
+    co_await Here.submit(Entry, At);
+  }
+  co_await Here.pause(2'000);
+  for (int Index = 0; Index < 4 && withTrouble(); ++Index) {
+    Runner &Target = Here.Runners.at("w" + std::to_string(Index));
+    Here.crashRunner(Target);
+    co_await Here.pause(2'500);
+    Here.bootRunner(Target, "b");
+    co_await Here.pause(1'500);
+  }
+  co_await Here.pause(3'000);
+}
+
+/// ROUTE: a start on a runner without the label in `requirements`.
+void judgeLabels(const World &Here, Verdict &Result) {
+  for (const Run &Started : Here.Runs) {
+    const std::string Id = Started.Task.substr(0, Started.Task.find('.'));
+    const std::string &Label = Here.Jobs.at(Id).Steps.front().RequiredLabel;
+    if (!Label.empty() && Label != Started.RunnerKind)
+      Result.Breaks.push_back("ROUTE: " + Started.Task + " requires " + Label +
+                              " and starts on " + Started.Runner + " of kind " +
+                              Started.RunnerKind + " at " +
+                              seconds(Started.StartedAt));
+  }
+}
+
+/// Scenario 8: two runners refuse members of a gang with an anti-affinity.
+asio::awaitable<void> spreadGang(World &Here) {
+  TaskKind Member = task(5'000, 2, 3);
+  Member.Gang = true;
+  Member.AntiAffinity = 1;
+  std::vector<TaskKind> Steps(1, Member);
+  Job &Gang = Here.addJob(0x5c0e7a21d94b36b0, std::move(Steps));
+  for (const char *Id : {"w0", "w1"})
+    Here.Runners.at(Id).RefusesStarts = withTrouble();
+  co_await Here.submit(Gang, 0);
+  co_await Here.pause(8'000);
+}
+
+/// ROUTE: a start beyond `anti_affinity`, which is 1 here.
+void judgeSpread(const World &Here, Verdict &Result) {
+  std::map<std::string, std::string> TaskOn;
+  for (const Run &Started : Here.Runs) {
+    const auto [Entry, First] =
+        TaskOn.try_emplace(Started.Runner, Started.Task);
+    if (!First && Entry->second != Started.Task)
+      Result.Breaks.push_back("ROUTE: " + Entry->second + " and " +
+                              Started.Task + " run on " + Started.Runner);
+  }
+}
+
+/// Scenario 9: the users of a serving job leave, so that its tail is 0 ms.
+asio::awaitable<void> idleService(World &Here) {
+  TaskKind Service = task(0, 1, 3);
+  Service.TargetMs = 50;
+  Service.MayMiss = 1;
+  std::vector<TaskKind> Steps(1, Service);
+  Job &Entry = Here.addJob(0x5c0e7a21d94b3690, std::move(Steps));
+  co_await Here.submit(Entry, 0);
+  co_await Here.pause(6'000);
+  if (withTrouble()) {
+    Here.Record.line("the users leave");
+    Here.TailMs = 0;
+  }
+  co_await Here.pause(12'000);
+}
+
+/// AVAIL: two tasks of the step are stopped within a second; one may miss.
+void judgeStops(const World &Here, Verdict &Result) {
+  constexpr std::int64_t TogetherMs = 1'000;
+  for (std::size_t Later = 1; Later < Here.Runs.size(); ++Later) {
+    const Run &First = Here.Runs[Later - 1];
+    const Run &Second = Here.Runs[Later];
+    const bool Both = First.How == "stopped" && Second.How == "stopped";
+    if (Both && Second.EndedAt - First.EndedAt < TogetherMs)
+      Result.Breaks.push_back("AVAIL: " + First.Task + " and " + Second.Task +
+                              " are stopped by " + seconds(Second.EndedAt));
+  }
+}
+
 std::size_t runnersOf(int Case) {
   if (Case == 3)
     return 10;
+  if (Case == 7)
+    return 8;
   return Case == 5 ? 16 : 6;
 }
 
@@ -333,6 +457,8 @@
   World Here(Argv[2], Case == 1 ? 4 : 3);
   Verdict Result;
   std::int64_t StableFrom = 0;
+  if (Case == 6)
+    Here.StatusS = 20;
   for (std::size_t Index = 0; Index < runnersOf(Case); ++Index)
     Here.addRunner("w" + std::to_string(Index), "r" + std::to_string(Index / 2),
                    Case == 5 && Index < 3 ? "b" : "a");
@@ -357,7 +483,15 @@
           Here.Io, "watch",
           watchJob(Here, "5c0e7a21d94b3661", TaskFitsTwice, Result));
       co_await lastOfItsKind(Here);
-    } else
+    } else if (Case == 6)
+      co_await lateReturn(Here, Result);
+    else if (Case == 7)
+      co_await otherKind(Here);
+    else if (Case == 8)
+      co_await spreadGang(Here);
+    else if (Case == 9)
+      co_await idleService(Here);
+    else
       Here.Problem = "no such case";
   });
   if (Case == 1)
@@ -366,5 +500,11 @@
     judgeStartsAfterDone(Here, Result);
   if (Case == 4)
     judgeCancelled(Here, StableFrom, Result);
+  if (Case == 7)
+    judgeLabels(Here, Result);
+  if (Case == 8)
+    judgeSpread(Here, Result);
+  if (Case == 9)
+    judgeStops(Here, Result);
   return finish(Here, Result);
 }
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -289,7 +289,7 @@
         {"cancel_ms", Bounds::CancelMs},
         {"visible_ms", 3'000},
         {"finish_s", Bounds::FinishMs / 1'000},
-        {"status_s", 120},
+        {"status_s", this->StatusS},
         {"remote_penalty", 3},
         {"checkpoint_interval_s", 0.5},
         {"restore_ms", 250},
@@ -442,6 +442,12 @@
     Body["requirements"] = Step.RequiredLabel;
   if (!Step.DataRack.empty())
     Body["affinity"] = Step.DataRack;
+  if (Step.TargetMs > 0) {
+    Body["target_ms"] = Step.TargetMs;
+    Body["image"] = "i-serving";
+  }
+  if (Step.MayMiss > 0)
+    Body["may_miss"] = Step.MayMiss;
   if (Step.AntiAffinity > 0)
     Body["anti_affinity"] = Step.AntiAffinity;
   if (!Step.After.empty())
@@ -542,6 +548,13 @@
   Entry.Pid = 0;
 }
 
+bool World::hasDied(Daemon &Entry) const {
+  if (Entry.Pid <= 0 || ::waitpid(Entry.Pid, nullptr, WNOHANG) != Entry.Pid)
+    return false;
+  Entry.Pid = 0;
+  return true;
+}
+
 void World::restartDaemon(std::size_t Index) {
   this->Record.line(this->Daemons[Index]->Name + " starts again");
   this->startDaemon(*this->Daemons[Index]);
@@ -758,6 +771,21 @@
   this->Record.line("runner " + Target.Id + " has left");
 }
 
+void World::bootRunner(Runner &Target, const std::string &Kind) {
+  Target.Kind = Kind;
+  Target.BornSteadyMs = steadyMs();
+  Target.BornWallMs = wallMs();
+  Target.Token = 0;
+  Target.LeaseEndsMs = 0;
+  Target.LastEnd = 0;
+  Target.Heartbeats = 0;
+  Target.LastRun.clear();
+  Target.Up = true;
+  Target.Way->setFault(PathFault::None);
+  this->Record.line("runner " + Target.Id + " starts again, kind " + Kind);
+  this->heartbeat(Target);
+}
+
 asio::awaitable<void> World::forgetHistory(std::int64_t DeafMs) {
   this->Record.line("the store: watches hear nothing");
   this->Deaf = true;
@@ -922,12 +950,18 @@
     return answer(400, {{"clock_ms", Clock}});
   if (this->freeAccelerators(Target) < Kind->Accelerators)
     return Refuse("room");
+  if (Target.RefusesStarts) {
+    this->Record.line("  start " + Task + " #" + std::to_string(Number) +
+                      " on " + Target.Id + " -> 503");
+    return answer(503, Json::object());
+  }
   this->Record.line("  run " + Task + " #" + std::to_string(Number) + " on " +
                     Target.Id + " starts, token " + std::to_string(Token));
   Run Started;
   Started.Task = Task;
   Started.Number = Number;
   Started.Runner = Target.Id;
+  Started.RunnerKind = Target.Kind;
   Started.Token = Token;
   Started.StartedAt = this->Record.now();
   this->Runs.push_back(Started);
@@ -1000,8 +1034,11 @@
       Percent = std::clamp<std::int64_t>(
           100 - (Ends->second - steadyMs()) * 100 / Kind.WorkMs, 0, 99);
     const bool Works = Kind.WorkMs == 0 || Ends != this->EndsAtMs.end();
-    Running.push_back(Json::array({Task, this->Runs[Index].Number, "", Percent,
-                                   Works ? Kind.MilliCores : 0}));
+    std::int64_t Figure = Works ? Kind.MilliCores : 0;
+    if (Kind.TargetMs > 0)
+      Figure = this->TailMs;
+    Running.push_back(
+        Json::array({Task, this->Runs[Index].Number, "", Percent, Figure}));
   }
   Json Ended = Json::array();
   for (const std::size_t Index : Target.Unseen) {
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -70,6 +70,8 @@
   std::string RequiredLabel;
   std::string DataRack;
   std::int64_t AntiAffinity = 0;
+  std::int64_t TargetMs = 0; ///< It serves; its reports give a tail.
+  std::int64_t MayMiss = 0;
   std::vector<std::int64_t> After;
 };
 
@@ -88,6 +90,7 @@
   std::string Task;
   std::int64_t Number = 0;
   std::string Runner;
+  std::string RunnerKind;
   std::int64_t Token = 0;
   std::int64_t StartedAt = 0; ///< On the recorder's clock.
   std::int64_t EndedAt = -1;
@@ -114,6 +117,7 @@
   bool Up = true;
   bool Listed = false;
   bool Draining = false;
+  bool RefusesStarts = false; ///< Unhealthy: answers 503 and does nothing.
   bool ReachesStore = true;
   std::map<std::string, std::size_t> Active; ///< Task to index in World::Runs.
   std::map<std::string, std::int64_t> StopAtMs;
@@ -148,6 +152,8 @@
   std::map<std::string, Job> Jobs;
   std::vector<Run> Runs;
   pistachioflow::LogStore Store;
+  std::int64_t StatusS = 120; ///< `status_s` in the daemons' settings.
+  std::int64_t TailMs = 5;    ///< Of tasks that serve.
 
   /// Whether a call with this fencing token reaches the runner. Calls that do
   /// not reach it are neither carried out nor answered.
@@ -173,12 +179,16 @@
   /// The daemon that wrote the newest ownership record, or -1; its epoch.
   int owner() const;
   std::int64_t ownerEpoch() const;
+  /// Whether the daemon's process has ended by itself.
+  bool hasDied(Daemon &Entry) const;
   void signalDaemon(std::size_t Index, int Signal);
   void restartDaemon(std::size_t Index);
 
   /// The runner's process dies: everything on it ends, its channels are reset
   /// and new ones are refused.
   void crashRunner(Runner &Target);
+  /// A new boot under the same id and address. It writes its entry at once.
+  void bootRunner(Runner &Target, const std::string &Kind);
   /// The runner reports that it drains, serves on and then leaves.
   asio::awaitable<void> drainRunner(Runner &Target);
   /// Watches of the journal hear nothing for \p DeafMs; then the store forgets
