--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -230,6 +230,14 @@
   Third.After = {1};
   Job &Entry = Here.addJob(CancelledJob, {task(4'000, 4), Second, Third});
   const std::size_t At = otherThan(Here, Here.owner());
+  // The owner is at work before the disruption begins.
+  std::vector<TaskKind> WarmUpSteps(1, task(1'000, 1));
+  Job &WarmUp = Here.addJob(CancelledJob + 1, std::move(WarmUpSteps));
+  co_await Here.submit(WarmUp, At);
+  for (int Tries = 0; Tries < 40 && WarmUp.ShownCompletedAt < 0; ++Tries) {
+    co_await Here.pause(250);
+    co_await Here.state(WarmUp, At);
+  }
   const auto Client = [&Here, &Entry, At]() -> asio::awaitable<void> {
     co_await Here.pause(300);
     if (!co_await Here.submit(Entry, At))
