Log why a task or gang waits for long

'still_waiting' names the reason at 3 s, 6 s, 12 s and so on: no capacity, workers that may not be used, capacity withheld for others, another rack, a reservation. A unit without such a line is not up for placement. No decision changes.

--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -11,6 +11,7 @@
 #include "pistachioflow/sched/desired_state.hpp"
 #include "pistachioflow/sched/job_table.hpp"
 #include "pistachioflow/sched/placement.hpp"
+#include "pistachioflow/sched/wait_reason.hpp"
 
 namespace pistachioflow {
 
@@ -83,12 +84,19 @@
   std::vector<std::string> Workers;
 };
 
+/// A unit that has waited for long, and why it was not placed.
+struct LongWait {
+  Unit *Waiting = nullptr;
+  WaitReason Reason = WaitReason::Capacity;
+};
+
 struct PlanningResult {
   std::vector<UnitPlacement> Starts;
   std::vector<UnitPreemption> Preemptions;
   std::vector<UnitClaim> Claims;
   std::vector<Unit *> DroppedClaims; ///< Waiting units that lose their claim.
   std::vector<UnitReservation> Reservations;
+  std::vector<LongWait> LongWaits; ///< Those that are due for a log line.
   std::size_t Waiting = 0;
 };
 
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -78,6 +78,7 @@
   Instant ReadySince;          ///< When it became ready to be placed.
   Instant PlacedAt;            ///< Of the newest run.
   Instant NotBefore;           ///< Back-off after a failure or a refusal.
+  Instant WaitNotedAt;         ///< Latest line in the log about its wait.
   std::set<std::string, std::less<>> FailedWorkers; ///< Workers of failed runs.
   std::vector<std::string> ReservedWorkers; ///< Workers that drain for it.
   Instant ReservedAt;
@@ -144,6 +145,7 @@
     Reserved,
     ClaimReplaced, ///< Started, but not on all workers preempted for it.
     ClaimFailed,   ///< Not started on what was preempted for it.
+    StillWaiting,  ///< It waits for long; the detail says why.
     UnitDone,
     JobEnded,
   };
@@ -208,6 +210,9 @@
   /// Ends the claim of \p Unit without a start; does nothing if it has none.
   void dropClaim(Unit &Unit, Instant Now, std::string_view Reason);
 
+  /// Reports that \p Unit waits for long, and why.
+  void noteWait(Unit &Unit, std::string_view Reason, Instant Now);
+
   /// Marks the start order of a member as sent. Returns false, and changes
   /// nothing, when the run is not current or the member is not in phase
   /// Planned.
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -73,6 +73,7 @@
   case TableEvent::Kind::StopRequested:
   case TableEvent::Kind::Reserved:
   case TableEvent::Kind::ClaimReplaced:
+  case TableEvent::Kind::StillWaiting:
   case TableEvent::Kind::UnitDone:
     break;
   }
@@ -345,6 +346,8 @@
     Term.Table.place(*Start.Placed, Start.Places, Now);
   for (const UnitReservation &Entry : Plan.Reservations)
     Term.Table.reserve(*Entry.Beneficiary, Entry.Workers, Now);
+  for (const LongWait &Entry : Plan.LongWaits)
+    Term.Table.noteWait(*Entry.Waiting, toString(Entry.Reason), Now);
   for (const UnitPreemption &Entry : Plan.Preemptions)
     Term.Table.preempt(*Entry.Victim, Now, "for " + Entry.Beneficiary->name());
 }
@@ -520,10 +523,11 @@
 }
 
 void Dispatcher::logEvents(OwnershipTerm &Term) {
-  constexpr std::array Names{"placed",       "started",      "start_refused",
-                             "run_ended",    "run_vanished", "run_stuck",
-                             "stop_wanted",  "reserved",     "claim_replaced",
-                             "claim_failed", "unit_done",    "job_ended"};
+  constexpr std::array Names{"placed",       "started",       "start_refused",
+                             "run_ended",    "run_vanished",  "run_stuck",
+                             "stop_wanted",  "reserved",      "claim_replaced",
+                             "claim_failed", "still_waiting", "unit_done",
+                             "job_ended"};
   for (const TableEvent &Event : Term.Table.takeEvents()) {
     this->updateFromEvent(Term, Event);
     countEvent(Event);
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -232,6 +232,26 @@
   }
 }
 
+/// Explains the waits that are due for a log line. \p After are the workers
+/// after the decisions of \p Plan.
+std::vector<LongWait> explainLongWaits(const PlanningView &View,
+                                       const PlacementPlan &Plan,
+                                       std::span<Unit *const> Units,
+                                       std::span<const WaitingUnit> Waiting,
+                                       std::span<const PlacementWorker> After) {
+  std::vector<LongWait> Result;
+  std::vector<PlacementWorker> Before;
+  for (const std::size_t Index : Plan.Blocked) {
+    Unit *Entry = Units[Index];
+    if (!isWaitNoticeDue(Entry->ReadySince, Entry->WaitNotedAt, View.Now))
+      continue;
+    if (Before.empty())
+      Before = collectWorkers(View);
+    Result.push_back({Entry, explainWait(Before, After, Waiting[Index])});
+  }
+  return Result;
+}
+
 std::vector<Unit *> rankedWaiting(const PlanningView &View) {
   struct Ranked {
     QueueRank Rank;
@@ -381,6 +401,7 @@
   applyEarlierReservations(View, Units, Waiting, Workers);
   const PlacementPlan Plan =
       planPlacement(Workers, Waiting, Placed, guaranteeUses(View, Active));
+  Result.LongWaits = explainLongWaits(View, Plan, Units, Waiting, Workers);
   const auto ClaimsAgain = [&](const Unit *Waiting) {
     return std::ranges::any_of(Plan.Claims, [&](const PlannedClaim &Entry) {
       return Units[Entry.WaitingIndex] == Waiting;
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -349,6 +349,12 @@
   this->Events.back().Victims = Unused;
 }
 
+void JobTable::noteWait(Unit &Unit, std::string_view Reason, Instant Now) {
+  Unit.WaitNotedAt = Now;
+  this->recordEvent(TableEvent::Kind::StillWaiting, Unit.name(), {}, Unit.Run,
+                    std::string(Reason), (Now - Unit.ReadySince).Ms);
+}
+
 bool JobTable::markSent(const MemberRef &Ref, std::int64_t Run, Instant Now) {
   if (Ref.ParentUnit->Run != Run || Ref.Index >= Ref.ParentUnit->Members.size())
     return false;
