Let gangs and tasks near their data leave their rack in the end

Cause: allowedRacks() turns a preference, fewer milliseconds of work, into a condition without a bound. A rack counts if it could hold the unit when empty, whatever occupies it and for however long.

Change: a round names the units that fit on free workers but for what they prefer. One that was held back for as long as a run elsewhere takes more time, or for 2 s where its service has capacity to spare or where it lasts, takes any worker that it fits on. Service, label, capacity and the limit per worker bind always. A refused member of a gang that stands on several racks may move to any. Carrying out a round's plan moved from the dispatcher to planning, so that the test plays the same code.

--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -67,7 +67,6 @@
   void sendStops(const TermPtr &Term);
   void preemptOnDrainingWorkers(OwnershipTerm &Term);
   void moveRefusedMembers(OwnershipTerm &Term);
-  void reserveForUrgent(OwnershipTerm &Term);
   void verifyWorkers(OwnershipTerm &Term);
   void logEvents(OwnershipTerm &Term);
   void ensureHoldLoop(const TermPtr &Term, const WorkerPtr &Worker);
--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -57,7 +57,8 @@
   /// Guaranteed work that has waited this long may preempt work of its own
   /// priority.
   Duration ReclaimAfter;
-  Duration StopTimeout; ///< A worker ends a stopped run within this time.
+  Duration StopTimeout;       ///< A worker ends a stopped run within this time.
+  double RemotePenalty = 1.0; ///< Slowdown factor off the preferred rack.
 };
 
 /// Start of a unit: one place for each task.
@@ -96,6 +97,7 @@
   std::vector<UnitClaim> Claims;
   std::vector<Unit *> DroppedClaims; ///< Waiting units that lose their claim.
   std::vector<UnitReservation> Reservations;
+  std::vector<Unit *> HeldBack;    ///< Kept from free workers by preferences.
   std::vector<LongWait> LongWaits; ///< Those that are due for a log line.
   std::size_t Waiting = 0;
 };
@@ -134,10 +136,18 @@
 /// load. Changes nothing. Thread safety: none.
 MovePlan planMoves(const PlanningView &View);
 
+/// Reserves the workers that run urgent work for the next urgent gang, by
+/// WorkerLink::ReservedForUrgentUntil. Thread safety: none.
+void reserveForUrgent(const PlanningView &View);
+
 /// Ranks the waiting units and plans their placement. Changes nothing. Thread
 /// safety: none.
 PlanningResult planRound(const PlanningView &View);
 
+/// Carries out the decisions of a round in the table that it was planned from.
+/// Thread safety: none.
+void applyPlan(JobTable &Table, const PlanningResult &Plan, Instant Now);
+
 /// Returns the terms in force for a job: those of its queue, or those stored
 /// with the job if the queue no longer exists.
 const QueueTerms &termsOf(const DesiredState &Desired, const Job &Job);
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -78,6 +78,7 @@
   Instant ReadySince;          ///< When it became ready to be placed.
   Instant PlacedAt;            ///< Of the newest run.
   Instant NotBefore;           ///< Back-off after a failure or a refusal.
+  Instant HeldBackSince;       ///< It fits on workers that it avoids; 0: no.
   Instant WaitNotedAt;         ///< Latest line in the log about its wait.
   std::set<std::string, std::less<>> FailedWorkers; ///< Workers of failed runs.
   std::vector<std::string> ReservedWorkers; ///< Workers that drain for it.
@@ -210,6 +211,10 @@
   /// Ends the claim of \p Unit without a start; does nothing if it has none.
   void dropClaim(Unit &Unit, Instant Now, std::string_view Reason);
 
+  /// Stores which waiting units only their preferences keep from free workers,
+  /// in place of an earlier call's.
+  void noteHeldBack(std::span<Unit *const> HeldBack, Instant Now);
+
   /// Reports that \p Unit waits for long, and why.
   void noteWait(Unit &Unit, std::string_view Reason, Instant Now);
 
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -79,6 +79,9 @@
   /// would end them.
   bool WaitsForExpectedEnds = false;
   bool LastAttempt = false; ///< One more failure fails its job.
+  /// Preferences have kept it from free workers for long enough: it takes any
+  /// worker that it fits on.
+  bool AcceptsAnyWorker = false;
 };
 
 /// A unit that has been placed. Its texts are views of the caller's.
@@ -132,6 +135,8 @@
   std::vector<std::size_t> DroppedClaims;
   std::vector<PlannedReservation> Reservations;
   std::vector<std::size_t> Blocked; ///< Indices of waiting units.
+  /// Waiting units that only their preferences keep from free workers.
+  std::vector<std::size_t> HeldBack;
 };
 
 /// Whether the worker may run tasks of the unit, regardless of free capacity.
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -32,10 +32,6 @@
 /// entry; reading several changes at once saves calls.
 constexpr Duration WorkerListReadPause{200};
 constexpr WriteTimeouts OwnerWriteTimeouts{{3'600'000}, {3'600'000}};
-/// Workers that ran urgent work stay reserved for it this long: about the time
-/// between two urgent gangs under load. A longer reservation leaves workers
-/// idle; without one, the next gang has to preempt smaller work first.
-constexpr Duration UrgentReservationTime{1'000};
 /// Part of the time limit for starting guaranteed work that is left for the
 /// start itself.
 constexpr Duration ReclaimStartMargin{1'000};
@@ -310,7 +306,7 @@
   Term->Table.unlockDueSteps(StartedAt, this->Time.wall().Ms);
   this->preemptOnDrainingWorkers(*Term);
   this->moveRefusedMembers(*Term);
-  this->reserveForUrgent(*Term);
+  reserveForUrgent(this->planningView(*Term, this->Time.monotonic()));
   this->placeUnits(*Term);
   this->sendStops(Term);
   this->logEvents(*Term);
@@ -329,7 +325,8 @@
           this->Durations,
           Now,
           ReclaimAfter,
-          this->Settings.StopTimeout};
+          this->Settings.StopTimeout,
+          this->Settings.RemotePenalty};
 }
 
 void Dispatcher::placeUnits(OwnershipTerm &Term) {
@@ -338,31 +335,7 @@
   entryMetrics().UnitsWaiting.set(
       static_cast<std::int64_t>(Plan.Waiting - Plan.Starts.size()));
   entryMetrics().Preemptions.add(Plan.Preemptions.size());
-  for (Unit *Entry : Plan.DroppedClaims)
-    Term.Table.dropClaim(*Entry, Now, "not_released");
-  for (const UnitClaim &Entry : Plan.Claims)
-    JobTable::claim(*Entry.Beneficiary, Entry.Claim);
-  for (const UnitPlacement &Start : Plan.Starts)
-    Term.Table.place(*Start.Placed, Start.Places, Now);
-  for (const UnitReservation &Entry : Plan.Reservations)
-    Term.Table.reserve(*Entry.Beneficiary, Entry.Workers, Now);
-  for (const LongWait &Entry : Plan.LongWaits)
-    Term.Table.noteWait(*Entry.Waiting, toString(Entry.Reason), Now);
-  for (const UnitPreemption &Entry : Plan.Preemptions)
-    Term.Table.preempt(*Entry.Victim, Now, "for " + Entry.Beneficiary->name());
-}
-
-/// Reserves the workers that run urgent work for the next urgent gang.
-void Dispatcher::reserveForUrgent(OwnershipTerm &Term) {
-  const Instant Until = this->Time.monotonic() + UrgentReservationTime;
-  for (const Unit *Entry : Term.Table.active()) {
-    if (termsOf(this->Desired, *Entry->ParentJob).Priority != 0)
-      continue;
-    for (const Member &PlacedMember : Entry->Members)
-      if (const auto Worker = Term.Workers.find(PlacedMember.Worker);
-          PlacedMember.occupiesCapacity() && Worker != Term.Workers.end())
-        Worker->second->ReservedForUrgentUntil = Until;
-  }
+  applyPlan(Term.Table, Plan, Now);
 }
 
 void Dispatcher::moveRefusedMembers(OwnershipTerm &Term) {
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "pistachioflow/sched/preference.hpp"
 #include "pistachioflow/sched/queue_order.hpp"
 
 namespace pistachioflow {
@@ -18,6 +19,10 @@
 constexpr Duration MoveTimeout{1'000};
 /// After this long, other workers may become free sooner.
 constexpr Duration ReservationLifetime{3'000};
+/// Workers that ran urgent work stay reserved for it this long: about the time
+/// between two urgent gangs under load. A longer reservation leaves workers
+/// idle; without one, the next gang has to preempt smaller work first.
+constexpr Duration UrgentReservationTime{1'000};
 /// Added to the time that a stop takes for the lifetime of a claim: the order
 /// to stop, the report of the end and a repetition of either.
 constexpr Duration ClaimMargin{600};
@@ -232,6 +237,19 @@
   }
 }
 
+/// Whether preferences have kept a unit from free workers for long enough.
+bool acceptsAnyWorker(const PlanningView &View, const Unit &Waiting,
+                      bool SpareCapacity) {
+  if (Waiting.HeldBackSince.Ms == 0)
+    return false;
+  const std::int64_t ExpectedMs = View.Durations.expectedMs(
+      Waiting.ParentJob->Submission.Queue, Waiting.spec().EstimatedMs);
+  const Duration Limit =
+      preferenceLimit({ExpectedMs, View.RemotePenalty,
+                       Waiting.spec().LongRunning, SpareCapacity});
+  return View.Now - Waiting.HeldBackSince >= Limit;
+}
+
 /// Explains the waits that are due for a log line. \p After are the workers
 /// after the decisions of \p Plan.
 std::vector<LongWait> explainLongWaits(const PlanningView &View,
@@ -380,6 +398,18 @@
   return Plan;
 }
 
+void reserveForUrgent(const PlanningView &View) {
+  const Instant Until = View.Now + UrgentReservationTime;
+  for (const Unit *Entry : View.Table.active()) {
+    if (termsOf(View.Desired, *Entry->ParentJob).Priority != 0)
+      continue;
+    for (const Member &PlacedMember : Entry->Members)
+      if (const auto Worker = View.Workers.find(PlacedMember.Worker);
+          PlacedMember.occupiesCapacity() && Worker != View.Workers.end())
+        Worker->second->ReservedForUrgentUntil = Until;
+  }
+}
+
 PlanningResult planRound(const PlanningView &View) {
   PlanningResult Result;
   const std::vector<Unit *> Units = rankedWaiting(View);
@@ -391,8 +421,15 @@
   const std::vector<PlacedUnit> Placed = collectPlaced(View, Active, Workers);
   std::vector<WaitingUnit> Waiting;
   std::map<const StepState *, std::size_t> Groups;
+  std::map<std::string_view, bool> SpareCapacity;
   for (const Unit *Unit : Units) {
     Waiting.push_back(describeWaiting(View, *Unit));
+    const std::string_view Service = Waiting.back().Service;
+    const auto [Spare, Added] = SpareCapacity.try_emplace(Service);
+    if (Added)
+      Spare->second = hasSpareCapacity(Workers, Service);
+    Waiting.back().AcceptsAnyWorker =
+        acceptsAnyWorker(View, *Unit, Spare->second);
     const StepState *Step =
         &Unit->ParentJob->Occurrences.at(Unit->Occurrence).Steps[Unit->Step];
     Waiting.back().Group =
@@ -401,6 +438,8 @@
   applyEarlierReservations(View, Units, Waiting, Workers);
   const PlacementPlan Plan =
       planPlacement(Workers, Waiting, Placed, guaranteeUses(View, Active));
+  for (const std::size_t Index : Plan.HeldBack)
+    Result.HeldBack.push_back(Units[Index]);
   Result.LongWaits = explainLongWaits(View, Plan, Units, Waiting, Workers);
   const auto ClaimsAgain = [&](const Unit *Waiting) {
     return std::ranges::any_of(Plan.Claims, [&](const PlannedClaim &Entry) {
@@ -444,4 +483,20 @@
   return Result;
 }
 
+void applyPlan(JobTable &Table, const PlanningResult &Plan, Instant Now) {
+  for (Unit *Entry : Plan.DroppedClaims)
+    Table.dropClaim(*Entry, Now, "not_released");
+  for (const UnitClaim &Entry : Plan.Claims)
+    JobTable::claim(*Entry.Beneficiary, Entry.Claim);
+  for (const UnitPlacement &Start : Plan.Starts)
+    Table.place(*Start.Placed, Start.Places, Now);
+  for (const UnitReservation &Entry : Plan.Reservations)
+    Table.reserve(*Entry.Beneficiary, Entry.Workers, Now);
+  Table.noteHeldBack(Plan.HeldBack, Now);
+  for (const LongWait &Entry : Plan.LongWaits)
+    Table.noteWait(*Entry.Waiting, toString(Entry.Reason), Now);
+  for (const UnitPreemption &Entry : Plan.Preemptions)
+    Table.preempt(*Entry.Victim, Now, "for " + Entry.Beneficiary->name());
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -268,6 +268,7 @@
   Unit.FullyStarted = false;
   Unit.FirstMemberEndedAt = {};
   Unit.ReservedWorkers.clear();
+  Unit.HeldBackSince = {};
   Unit.PlacedAt = Now;
   Unit.Members.clear();
   for (const PlaceRecord &Place : Places)
@@ -349,6 +350,16 @@
   this->Events.back().Victims = Unused;
 }
 
+void JobTable::noteHeldBack(std::span<Unit *const> HeldBack, Instant Now) {
+  const std::set<const Unit *> Listed(HeldBack.begin(), HeldBack.end());
+  for (Unit *Entry : this->Waiting) {
+    if (!Listed.contains(Entry))
+      Entry->HeldBackSince = {};
+    else if (Entry->HeldBackSince.Ms == 0)
+      Entry->HeldBackSince = Now;
+  }
+}
+
 void JobTable::noteWait(Unit &Unit, std::string_view Reason, Instant Now) {
   Unit.WaitNotedAt = Now;
   this->recordEvent(TableEvent::Kind::StillWaiting, Unit.name(), {}, Unit.Run,
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -72,19 +72,40 @@
     this->holdClaims();
     for (const std::size_t Index : this->order()) {
       const WaitingUnit &Unit = this->Waiting[Index];
-      // Tasks of a group are identical: if one is blocked, all are.
-      if (Unit.Group == this->BlockedGroup)
+      if (this->isBlockedWithGroup(Unit)) {
+        if (this->LastBlocked.HeldBack)
+          this->Plan.HeldBack.push_back(Index);
         continue;
-      if (!this->tryPlace(Index)) {
-        this->Plan.Blocked.push_back(Index);
-        if (!Unit.Step->Gang && Unit.Priority > 0)
-          this->BlockedGroup = Unit.Group;
       }
+      if (this->tryPlace(Index))
+        continue;
+      this->Plan.Blocked.push_back(Index);
+      if (!Unit.Step->Gang && Unit.Priority > 0)
+        this->LastBlocked = {Unit.Group, Unit.AcceptsAnyWorker,
+                             this->isHeldBack(Index)};
     }
     return std::move(this->Plan);
   }
 
 private:
+  /// A step whose single tasks are blocked.
+  struct BlockedStep {
+    std::size_t Group = NoGroup;
+    bool AcceptsAnyWorker = false;
+    bool HeldBack = false;
+  };
+
+  /// Tasks of a group are identical: if one is blocked, all are that accept the
+  /// same workers.
+  bool isBlockedWithGroup(const WaitingUnit &Unit) const {
+    return Unit.Group == this->LastBlocked.Group &&
+           Unit.AcceptsAnyWorker == this->LastBlocked.AcceptsAnyWorker;
+  }
+
+  bool isHeldBack(std::size_t Index) const {
+    return !this->Plan.HeldBack.empty() && this->Plan.HeldBack.back() == Index;
+  }
+
   /// Withholds the capacity of valid claims from all other units, so that what
   /// was preempted for a unit serves no other.
   void holdClaims() {
@@ -133,6 +154,24 @@
     return Overdue;
   }
 
+  /// Chooses free workers for a unit: those that it prefers, or else any that
+  /// it fits on if it accepts them. Notes a unit that its preferences hold
+  /// back.
+  std::optional<WorkerChoice>
+  chooseNow(std::size_t Index, std::span<const std::string_view> Racks) {
+    const WaitingUnit &Unit = this->Waiting[Index];
+    auto Preferred =
+        chooseWorkers(this->Workers, Unit, Racks, &PlacementWorker::FreeNow);
+    if (Preferred || Racks.empty())
+      return Preferred;
+    auto Anywhere =
+        chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow);
+    if (!Anywhere || Unit.AcceptsAnyWorker)
+      return Anywhere;
+    this->Plan.HeldBack.push_back(Index);
+    return std::nullopt;
+  }
+
   /// Returns whether the unit starts now.
   bool tryPlace(std::size_t Index) {
     const WaitingUnit &Unit = this->Waiting[Index];
@@ -141,8 +180,7 @@
       return this->tryHeld(Index);
     const std::vector<std::string_view> Racks =
         allowedRacks(this->Workers, Unit);
-    if (auto Chosen = chooseWorkers(this->Workers, Unit, Racks,
-                                    &PlacementWorker::FreeNow)) {
+    if (auto Chosen = this->chooseNow(Index, Racks)) {
       this->start(Index, std::move(*Chosen));
       return true;
     }
@@ -175,9 +213,7 @@
     release(this->Workers, Claimed, PerTask);
     std::optional<WorkerChoice> Chosen = this->completeClaim(Unit, Claimed);
     if (!Chosen)
-      Chosen =
-          chooseWorkers(this->Workers, Unit, allowedRacks(this->Workers, Unit),
-                        &PlacementWorker::FreeNow);
+      Chosen = this->chooseNow(Index, allowedRacks(this->Workers, Unit));
     if (!Chosen) {
       occupy(this->Workers, Claimed, PerTask);
       return false;
@@ -336,7 +372,7 @@
   /// The claim of each waiting unit that has a valid one.
   std::vector<std::optional<WorkerChoice>> Held;
   GuaranteeLedger Guarantees;
-  std::size_t BlockedGroup = NoGroup;
+  BlockedStep LastBlocked;
   std::size_t ReservedCount = 0;
   PlacementPlan Plan;
 };
@@ -346,7 +382,9 @@
 std::optional<std::size_t>
 planReplacement(std::span<PlacementWorker> Workers, const WaitingUnit &Gang,
                 std::span<const std::string_view> OtherRacks) {
-  const bool OneRack = Gang.Step->TightlyCoupled && !OtherRacks.empty();
+  const bool OneRack = Gang.Step->TightlyCoupled && !OtherRacks.empty() &&
+                       std::ranges::count(OtherRacks, OtherRacks.front()) ==
+                           std::ranges::ssize(OtherRacks);
   const bool NearData =
       !Gang.Step->DataRack.empty() &&
       std::ranges::find(OtherRacks, Gang.Step->DataRack) != OtherRacks.end();
--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -456,4 +456,42 @@
   REQUIRE(Plan.Starts.front().WaitingIndex == First);
 }
 
+TEST_CASE("a unit that fits only on another rack is held back at first") {
+  struct Row {
+    const char *Name;
+    bool Gang;
+    bool AcceptsAnyWorker;
+    std::size_t Starts;
+    std::size_t HeldBack;
+  };
+  const auto Case = GENERATE(Row{"a gang prefers one rack", true, false, 0, 1},
+                             Row{"it takes any in the end", true, true, 1, 0},
+                             Row{"tasks prefer their data", false, false, 1, 2},
+                             Row{"and take any in the end", false, true, 3, 0});
+  CAPTURE(Case.Name);
+  std::vector<PlacementWorker> Workers = makeWorkers(4, 2);
+  const std::vector<PlacedUnit> Placed{fillWorkers(Workers, {0}, 1, 0)};
+  StepSpec Step = makeStep(Case.Gang ? 2 : 1, {1'000, 100, 8}, Case.Gang, true);
+  if (Case.Gang)
+    Workers[2].FreeNow = Workers[2].FreeAfterStops = {};
+  else
+    Step.DataRack = "r0";
+  WaitingUnit Unit = makeUnit(Step, 1);
+  Unit.AcceptsAnyWorker = Case.AcceptsAnyWorker;
+  const std::vector<WaitingUnit> Waiting(Case.Gang ? 1 : 3, Unit);
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed, {});
+  REQUIRE(Plan.Starts.size() == Case.Starts);
+  REQUIRE(Plan.HeldBack.size() == Case.HeldBack);
+}
+
+TEST_CASE("a member of a gang on several racks moves to any rack") {
+  const std::vector<PlacementWorker> Free = makeWorkers(4, 2);
+  const auto [Racks, Worker] =
+      GENERATE(table<std::vector<std::string_view>, std::size_t>(
+          {{{"r1", "r1"}, 2}, {{"r1", "r0"}, 0}}));
+  std::vector<PlacementWorker> Workers = Free;
+  const StepSpec Step = makeStep(3, {1'000, 100, 8}, true, true);
+  REQUIRE(planReplacement(Workers, makeUnit(Step, 0), Racks) == Worker);
+}
+
 } // namespace pistachioflow
