End reservations for urgent work for tasks that fit nowhere else

Cause: the reservation is renewed in each round that urgent work runs, so that for work that lasts it never ends; its limit of half of the workers counts all of them, not those that the task may use. A preference, treated as a condition without a bound, as with racks.

Evidence: 'a task does not wait for ever beside workers of urgent work' fails before ('hasStarted ... false' after 5 s with 7 of 8 accelerators free).

Change: such a reservation counts among what may hold a unit back for the same bounded time. Result: the test passes.

--- a/src/pistachioflow/entry/planning_rounds_test.cpp
+++ b/src/pistachioflow/entry/planning_rounds_test.cpp
@@ -252,4 +252,24 @@
   REQUIRE(Simulated.Violations == std::vector<std::string>{});
 }
 
+TEST_CASE("a task does not wait for ever beside workers of urgent work") {
+  // All workers of the kind that it needs have urgent work that lasts.
+  Cluster Simulated;
+  for (std::size_t Index = 0; Index < 16; ++Index)
+    Simulated.addWorker("w" + std::to_string(Index), "r0",
+                        Index < 2 ? "b" : "a");
+  StepSpec Lasting = makeStep(2, 1, false);
+  Lasting.LongRunning = true;
+  Lasting.RequiredLabel = "b";
+  Lasting.MaxPerWorker = 1;
+  Simulated.submit(jobId(1), Lasting, 0);
+  Simulated.play(Duration{1'000});
+  StepSpec Small = makeStep(1, 1, false);
+  Small.RequiredLabel = "b";
+  Simulated.submit(jobId(2), Small, 1);
+  Simulated.play(Duration{5'000});
+  REQUIRE(Simulated.hasStarted(jobId(2)));
+  REQUIRE(Simulated.Violations == std::vector<std::string>{});
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -83,7 +83,7 @@
 
 bool isEligible(const PlacementWorker &Worker, const WaitingUnit &Unit) {
   const bool NonUrgentSingleTask = Unit.Priority > 0 && Unit.TaskCount == 1;
-  if (Worker.ReservedForUrgent && NonUrgentSingleTask)
+  if (Worker.ReservedForUrgent && NonUrgentSingleTask && !Unit.AcceptsAnyWorker)
     return false;
   return !Worker.ReservedThisRound && mayHost(Worker, Unit);
 }
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -66,6 +66,8 @@
         Held(Waiting.size()), Guarantees(std::move(Guarantees)) {
     for (std::size_t Index = 0; Index < Placed.size(); ++Index)
       this->Stopping[Index] = Placed[Index].Stopping;
+    this->AnyReserved =
+        std::ranges::any_of(Workers, &PlacementWorker::ReservedForUrgent);
   }
 
   PlacementPlan run() {
@@ -159,14 +161,16 @@
   /// back.
   std::optional<WorkerChoice>
   chooseNow(std::size_t Index, std::span<const std::string_view> Racks) {
-    const WaitingUnit &Unit = this->Waiting[Index];
+    WaitingUnit Unit = this->Waiting[Index];
+    const bool AcceptsAnyWorker = std::exchange(Unit.AcceptsAnyWorker, false);
     auto Preferred =
         chooseWorkers(this->Workers, Unit, Racks, &PlacementWorker::FreeNow);
-    if (Preferred || Racks.empty())
+    if (Preferred || (Racks.empty() && !this->AnyReserved))
       return Preferred;
+    Unit.AcceptsAnyWorker = true;
     auto Anywhere =
         chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow);
-    if (!Anywhere || Unit.AcceptsAnyWorker)
+    if (!Anywhere || AcceptsAnyWorker)
       return Anywhere;
     this->Plan.HeldBack.push_back(Index);
     return std::nullopt;
@@ -374,6 +378,7 @@
   GuaranteeLedger Guarantees;
   BlockedStep LastBlocked;
   std::size_t ReservedCount = 0;
+  bool AnyReserved = false; ///< Some workers are reserved for other work.
   PlacementPlan Plan;
 };
 
