End reservations for gangs for work that fits nowhere else

Cause: a gang that waits for a rack or for many workers reserves up to 40% of the workers, in each round again, for as long as it waits.

Change: reservations count among what may hold a unit back for a bounded time. A gang keeps its place in the order: what fits is offered to it first.

--- a/src/pistachioflow/entry/planning_rounds_test.cpp
+++ b/src/pistachioflow/entry/planning_rounds_test.cpp
@@ -272,4 +272,76 @@
   REQUIRE(Simulated.Violations == std::vector<std::string>{});
 }
 
+TEST_CASE("a task does not wait for ever beside workers reserved for gangs") {
+  // Gangs ahead of it wait for a rack and reserve idle workers meanwhile.
+  Cluster Simulated;
+  for (std::size_t Index = 0; Index < 20; ++Index)
+    Simulated.addWorker("w" + std::to_string(Index),
+                        "r" + std::to_string(Index / 4));
+  StepSpec Lasting = makeStep(1, 1, false);
+  Lasting.LongRunning = true;
+  for (std::size_t Rack = 0; Rack < 5; ++Rack) {
+    Lasting.DataRack = "r" + std::to_string(Rack);
+    Lasting.TaskCount = Rack < 2 ? 1 : 4;
+    Lasting.MaxPerWorker = 1;
+    Simulated.submit(jobId(100 + Rack), Lasting, 2);
+  }
+  Simulated.play(Duration{3'000});
+  StepSpec Wide = makeStep(8, 8, true);
+  Simulated.submit(jobId(1), Wide, 1, 60'000);
+  Simulated.play(Duration{500});
+  Simulated.submit(jobId(2), makeStep(1, 8, false), 1);
+  Simulated.play(Duration{5'000});
+  REQUIRE(Simulated.hasStarted(jobId(2)));
+  REQUIRE(Simulated.Violations == std::vector<std::string>{});
+}
+
+TEST_CASE("with capacity to spare, no unit waits longer than its bound") {
+  constexpr std::uint64_t Seeds = 60;
+  constexpr std::size_t WorkerCount = 24;
+  std::vector<std::string> Violations;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    std::mt19937_64 Random(Seed);
+    const auto Pick = [&Random](std::int64_t Low, std::int64_t High) {
+      return std::uniform_int_distribution<std::int64_t>(Low, High)(Random);
+    };
+    Cluster Simulated;
+    for (std::size_t Index = 0; Index < WorkerCount; ++Index)
+      Simulated.addWorker("w" + std::to_string(Index),
+                          "r" + std::to_string(Index / 4),
+                          Index % 6 == 0 ? "b" : "a");
+    std::size_t Jobs = 0;
+    std::size_t Added = WorkerCount;
+    constexpr int ArrivalRounds = 200;
+    constexpr int Rounds = 400;
+    for (int Round = 0; Round < Rounds; ++Round) {
+      if (Round < ArrivalRounds && Pick(0, 3) == 0) {
+        const bool Gang = Pick(0, 1) == 1;
+        StepSpec Step = makeStep(Gang ? Pick(1, 6) : Pick(1, 4),
+                                 std::int64_t{1} << Pick(0, 3), Gang);
+        Step.TightlyCoupled = Gang && Pick(0, 1) == 1;
+        if (Pick(0, 3) == 0)
+          Step.DataRack = "r" + std::to_string(Pick(0, 5));
+        if (Pick(0, 5) == 0)
+          Step.RequiredLabel = "b";
+        if (!Gang && Pick(0, 7) == 0) {
+          Step.LongRunning = true;
+          Step.TaskResources.Accelerators = 1;
+        }
+        Simulated.submit(jobId(++Jobs), Step, Pick(0, 2), Pick(500, 9'000));
+      }
+      if (Pick(0, 49) == 0 && Added < WorkerCount + 6) {
+        const std::vector<std::string> Ids = Simulated.workerIds();
+        Simulated.loseWorker(Ids[static_cast<std::size_t>(
+            Pick(0, static_cast<std::int64_t>(Ids.size()) - 1))]);
+        Simulated.addWorker("w" + std::to_string(Added++), "r9", "b");
+      }
+      Simulated.playRound();
+    }
+    for (const std::string &Text : Simulated.Violations)
+      Violations.push_back("seed " + std::to_string(Seed) + ": " + Text);
+  }
+  REQUIRE(Violations == std::vector<std::string>{});
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -82,8 +82,10 @@
 }
 
 bool isEligible(const PlacementWorker &Worker, const WaitingUnit &Unit) {
+  if (Unit.AcceptsAnyWorker)
+    return mayHost(Worker, Unit);
   const bool NonUrgentSingleTask = Unit.Priority > 0 && Unit.TaskCount == 1;
-  if (Worker.ReservedForUrgent && NonUrgentSingleTask && !Unit.AcceptsAnyWorker)
+  if (Worker.ReservedForUrgent && NonUrgentSingleTask)
     return false;
   return !Worker.ReservedThisRound && mayHost(Worker, Unit);
 }
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -301,6 +301,7 @@
     this->ReservedCount += Indices.size();
     for (const std::size_t Worker : Indices)
       this->Workers[Worker].ReservedThisRound = true;
+    this->AnyReserved = true;
     this->Plan.Reservations.push_back({Index, std::move(Indices)});
   }
 
