Count accelerators, not cores, when preferences end early

The bound of 2 s held wherever less than half of any resource was in use. Cores mostly are, also where every accelerator is taken, so that gangs left their rack in a full cluster and ran three times as long.

The share in use is now that of the accelerators, or of the cores of a service without any.

--- a/include/pistachioflow/sched/preference.hpp
+++ b/include/pistachioflow/sched/preference.hpp
@@ -27,8 +27,8 @@
 /// idle workers, so that it hardly waits. Thread safety: pure.
 Duration preferenceLimit(const PreferenceInputs &Inputs);
 
-/// Whether less than half of a service's cores, memory or accelerators is in
-/// use. Thread safety: pure.
+/// Whether less than half of a service's accelerators is in use, or of its
+/// cores if it has no accelerators. Thread safety: pure.
 bool hasSpareCapacity(std::span<const PlacementWorker> Workers,
                       std::string_view Service);
 
--- a/src/pistachioflow/sched/preference.cpp
+++ b/src/pistachioflow/sched/preference.cpp
@@ -31,12 +31,9 @@
     Total = Total + Worker.Capacity;
     Free = Free + Worker.FreeNow;
   }
-  const auto MostlyFree = [](std::int64_t Unused, std::int64_t All) {
-    return All > 0 && Unused > All / 2;
-  };
-  return MostlyFree(Free.MilliCores, Total.MilliCores) ||
-         MostlyFree(Free.MemoryMb, Total.MemoryMb) ||
-         MostlyFree(Free.Accelerators, Total.Accelerators);
+  if (Total.Accelerators > 0)
+    return Free.Accelerators * 2 > Total.Accelerators;
+  return Free.MilliCores * 2 > Total.MilliCores;
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/preference_test.cpp
+++ b/src/pistachioflow/sched/preference_test.cpp
@@ -16,21 +16,25 @@
   REQUIRE(preferenceLimit(Inputs).Ms == LimitMs);
 }
 
-TEST_CASE("a service has capacity to spare below half use of a resource") {
+TEST_CASE("a service has capacity to spare while less than half is used") {
   struct Row {
     const char *Name;
-    Resources Free; ///< On one of two workers; the other one is full.
+    std::int64_t Accelerators;
+    Resources Free; ///< Of one of two workers; the other one is full.
     bool Spare;
   };
-  const auto Case = GENERATE(Row{"all in use", {0, 0, 0}, false},
-                             Row{"half of it free", {8'000, 100, 8}, false},
-                             Row{"cores to spare", {8'001, 100, 0}, true},
-                             Row{"accelerators to spare", {0, 0, 9}, true});
+  const auto Case =
+      GENERATE(Row{"all in use", 8, {0, 0, 0}, false},
+               Row{"half of it free", 8, {8'000, 100, 8}, false},
+               Row{"only cores to spare", 8, {9'000, 100, 0}, false},
+               Row{"accelerators to spare", 8, {0, 0, 9}, true},
+               Row{"cores, without accelerators", 0, {8'001, 0, 0}, true},
+               Row{"no worker has any", 0, {8'000, 0, 0}, false});
   CAPTURE(Case.Name);
   std::vector<PlacementWorker> Workers(3);
   for (PlacementWorker &Worker : Workers) {
     Worker.Service = "svc";
-    Worker.Capacity = {8'000, 100, 8};
+    Worker.Capacity = {8'000, 100, Case.Accelerators};
   }
   Workers[1].FreeNow = Case.Free;
   Workers[2].Service = "other";
