stand-in: tasks that crash their workers, capacity that changes

At stake: the platform promises that a task may crash each worker that starts it and that a worker's capacity may change, and no check of ours played either. The stand-in's only crash was an instant restart between two answers: a hold that the crashed process had received was answered by the next one.

Change: the words crash=N and crash_after_ms=N in a task's script; a worker that is down answers nothing, its entry is removed after three heartbeats and it comes back after Limits.RestartDelay as a new incarnation; what a crashed process had received is not answered. Workers may not guard their capacity, and show a capacity that is set while they run. Violations: three starts of a task after it has crashed three workers; a start beyond every capacity that the worker showed within the last 3.5 s, with what is being stopped. A gang member that waits in vain is no violation if a worker has crashed meanwhile. crash() numbers the incarnations itself.

--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -61,6 +61,7 @@
     std::string Rack;
     std::unique_ptr<HttpServer> Server;
     std::int64_t Heartbeats = 0;
+    bool Listed = false; ///< The list of workers has its entry.
   };
 
   asio::awaitable<HttpResponse> serveStore(HttpRequest Request);
@@ -69,17 +70,19 @@
   HttpResponse serveNewest(const std::string &Query) const;
   asio::awaitable<HttpResponse> serveWorker(std::string Id,
                                             HttpRequest Request);
+  asio::awaitable<HttpResponse> serveOrder(std::string Id, HttpRequest Request);
   asio::awaitable<HttpResponse> servePoll(std::string Id, std::string Body);
   asio::awaitable<HttpResponse> serveStart(std::string Id, std::string Body);
   asio::awaitable<void> advanceLoop();
   void publishWorkers();
+  void publishWorker(WorkerEndpoint &Endpoint);
+  void expireEntry(WorkerEndpoint &Endpoint);
   bool chance(double Probability);
 
   asio::io_context &Io;
   const Clock &Time;
   HttpServer StoreServer;
   Signal RecordsAppended;
-  Resources Capacity;
   std::vector<WorkerEndpoint> WorkerEndpoints;
   std::mt19937_64 Random;
 };
