Tell of each task under which its worker crashed

At stake: a task that crashes its workers showed as run_vanished "restarted" only, which any run on a restarted worker shows. Nothing told apart whether crashes are not counted, whether one order reaches two processes of a worker, or whether a change of owner forgets them.

Change: the line worker_crashed (task, run, worker, incarnation before and after, how many workers have crashed under that task, whether its start was confirmed and how long it had been running) and the metric runs_crashed_total. A start in flight counts as unconfirmed; one that was planned only doesn't count. The count is kept in memory and decides nothing yet.

--- a/include/pistachioflow/entry/metrics.hpp
+++ b/include/pistachioflow/entry/metrics.hpp
@@ -28,6 +28,7 @@
   Counter &StartsRefused = Registry.counter("starts_refused_total");
   Counter &RunsEnded = Registry.counter("runs_ended_total");
   Counter &RunsLost = Registry.counter("runs_lost_total");
+  Counter &RunsCrashed = Registry.counter("runs_crashed_total");
   Counter &Preemptions = Registry.counter("preemptions_total");
   Counter &WastedPreemptions = Registry.counter("preemptions_wasted_total");
   Counter &Holds = Registry.counter("worker_holds_total");
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -13,6 +13,7 @@
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/sched/attempt_history.hpp"
+#include "pistachioflow/sched/crash_history.hpp"
 #include "pistachioflow/sched/records.hpp"
 #include "pistachioflow/sched/worker.hpp"
 
@@ -67,6 +68,7 @@
   std::int64_t TaskCount = 1;
   std::int64_t Run = 0;
   AttemptHistory Attempts;
+  CrashHistory Crashes;
   /// All members of the newest run were running at the same time.
   bool FullyStarted = false;
   /// When the first member of a fully started gang ended; 0: none has. The
@@ -138,8 +140,9 @@
     Confirmed,
     Refused,
     Ended,
-    RunLost, ///< The worker no longer has the run.
-    Stuck,   ///< A run uses no CPU although its gang is complete.
+    RunLost,       ///< The worker no longer has the run.
+    WorkerCrashed, ///< Under a task.
+    Stuck,         ///< A run uses no CPU although its gang is complete.
     StopRequested,
     Reserved,
     ClaimReplaced, ///< Started, but not on all workers preempted for it.
@@ -158,6 +161,12 @@
   /// checkpoint.
   std::string Queue;
   std::int64_t EstimatedMs = 0;
+  /// \name Of a crash
+  /// @{
+  std::int64_t IncarnationBefore = 0;
+  std::int64_t IncarnationAfter = 0;
+  std::int64_t Crashes = 0; ///< Of workers under the task, with this one.
+  /// @}
 };
 
 /// State of every job at the instance that owns the queues: a state machine
@@ -237,8 +246,9 @@
                                        Instant AskedAt, Instant Now,
                                        std::int64_t WallMs);
 
-  /// Handles a worker's restart under the same id. Runs of its earlier
-  /// incarnation have ended; those in \p Report belong to the new one.
+  /// Handles a worker's restart under the same id, which is how a crash shows.
+  /// Runs of its earlier incarnation have ended; those in \p Report belong to
+  /// the new one.
   void workerRestarted(std::string_view Worker, const WorkerReport &Report,
                        Instant Now);
 
@@ -291,6 +301,8 @@
                 std::int64_t WallMs);
   void applyLateEnd(Unit &Unit, std::string_view Worker, const EndedRun &End,
                     Instant Now, std::int64_t WallMs);
+  void recordCrash(Unit &Unit, std::size_t Index,
+                   std::int64_t IncarnationAfter);
   void resolvePresumedEnds(std::string_view Worker, const WorkerReport &Report);
   void failIfExhausted(Unit &Unit, Instant Now, std::int64_t WallMs);
   void completeUnit(Unit &Unit, Instant Now, std::int64_t WallMs);
--- a/include/pistachioflow/sched/records.hpp
+++ b/include/pistachioflow/sched/records.hpp
@@ -69,7 +69,6 @@
   MSGPACK_DEFINE(Worker, IncarnationStartMs)
 };
 
-/// A single task or a gang: its newest run and the state retained across runs.
 /// A run that is presumed to have ended, on a worker that cannot be reached.
 struct PresumedEndRecord {
   std::string Worker;
@@ -78,6 +77,25 @@
   MSGPACK_DEFINE(Worker, Run)
 };
 
+/// What was known of a run when its worker crashed.
+enum class CrashEvidence {
+  Unconfirmed, ///< Its start may not have reached the worker.
+  Early,       ///< It had lately begun to run.
+  Late,        ///< It had been running for a while.
+};
+
+/// A crash of a worker under one member of a unit.
+struct CrashRecord {
+  std::string Worker;
+  std::int64_t IncarnationStartMs = 0; ///< Of the process that crashed.
+  std::int64_t Run = 0;
+  std::int64_t Member = 0; ///< Index of the member in its unit.
+  CrashEvidence Evidence = CrashEvidence::Unconfirmed;
+
+  MSGPACK_DEFINE(Worker, IncarnationStartMs, Run, Member, Evidence)
+};
+
+/// A single task or a gang: its newest run and the state retained across runs.
 struct UnitRecord {
   std::int64_t Run = 0; ///< Number of the newest start.
   bool Done = false;
@@ -105,6 +123,9 @@
   MSGPACK_DEFINE(Epoch, Instance, Heartbeat, Resigned, MilliCores)
 };
 
+/// Returns the name used in logs.
+std::string_view toString(CrashEvidence Evidence);
+
 std::string submissionKey(std::string_view JobId);
 std::string cancellationKey(std::string_view JobId);
 std::string phaseKey(std::string_view JobId);
@@ -122,3 +143,4 @@
 } // namespace pistachioflow
 
 MSGPACK_ADD_ENUM(pistachioflow::JobPhase)
+MSGPACK_ADD_ENUM(pistachioflow::CrashEvidence)
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -62,6 +62,9 @@
   case TableEvent::Kind::RunLost:
     Metrics.RunsLost.add();
     break;
+  case TableEvent::Kind::WorkerCrashed:
+    Metrics.RunsCrashed.add();
+    break;
   case TableEvent::Kind::JobEnded:
     Metrics.JobsEnded.add();
     Metrics.JobMs.record(ElapsedMs);
@@ -78,6 +81,18 @@
   }
 }
 
+void logCrash(const TableEvent &Event, std::int64_t Epoch) {
+  logEvent(LogLevel::Warning, "worker_crashed",
+           {{"id", Event.Subject},
+            {"run", Event.Run},
+            {"worker", Event.Worker},
+            {"evidence", Event.Detail},
+            {"crashes", Event.Crashes},
+            {"incarnation_before", Event.IncarnationBefore},
+            {"incarnation_after", Event.IncarnationAfter},
+            {"epoch", Epoch}});
+}
+
 /// Keeps \p Follower alive until its last read has ended.
 asio::awaitable<void> followTopic(std::shared_ptr<TopicFollower> Follower) {
   co_await Follower->run();
@@ -520,10 +535,11 @@
 }
 
 void Dispatcher::logEvents(OwnershipTerm &Term) {
-  constexpr std::array Names{"placed",       "started",      "start_refused",
-                             "run_ended",    "run_vanished", "run_stuck",
-                             "stop_wanted",  "reserved",     "claim_replaced",
-                             "claim_failed", "unit_done",    "job_ended"};
+  constexpr std::array Names{"placed",         "started",      "start_refused",
+                             "run_ended",      "run_vanished", "worker_crashed",
+                             "run_stuck",      "stop_wanted",  "reserved",
+                             "claim_replaced", "claim_failed", "unit_done",
+                             "job_ended"};
   for (const TableEvent &Event : Term.Table.takeEvents()) {
     this->updateFromEvent(Term, Event);
     countEvent(Event);
@@ -531,6 +547,10 @@
         Names[static_cast<std::size_t>(Event.EventKind)];
     if (Event.EventKind == TableEvent::Kind::UnitDone)
       continue;
+    if (Event.EventKind == TableEvent::Kind::WorkerCrashed) {
+      logCrash(Event, Term.Epoch);
+      continue;
+    }
     logEvent(LogLevel::Info, Name,
              {{"id", Event.Subject},
               {"run", Event.Run},
--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -234,12 +234,18 @@
     if (Entry.IncarnationStartMs == BornWallMs ||
         Entry.Phase == MemberPhase::Ended)
       continue;
+    const bool Shown = containsRun(Report, Ref.ParentUnit->taskName(Ref.Index),
+                                   Ref.ParentUnit->Run);
+    // A confirmed run that the new incarnation shows was started by it.
+    const bool MayHaveCrashed = Entry.Phase == MemberPhase::Sent ||
+                                (!Shown && Entry.Phase != MemberPhase::Planned);
+    if (MayHaveCrashed)
+      this->recordCrash(*Ref.ParentUnit, Ref.Index, BornWallMs);
     // An order in flight may have reached the new incarnation, or may still
     // reach it.
     const bool InFlight =
         Entry.Phase == MemberPhase::Sent || Entry.Phase == MemberPhase::Planned;
-    if (InFlight || containsRun(Report, Ref.ParentUnit->taskName(Ref.Index),
-                                Ref.ParentUnit->Run)) {
+    if (InFlight || Shown) {
       Entry.IncarnationStartMs = BornWallMs;
       continue;
     }
--- a/src/pistachioflow/sched/records.cpp
+++ b/src/pistachioflow/sched/records.cpp
@@ -40,6 +40,18 @@
   return "invalid";
 }
 
+std::string_view toString(CrashEvidence Evidence) {
+  switch (Evidence) {
+  case CrashEvidence::Unconfirmed:
+    return "unconfirmed";
+  case CrashEvidence::Early:
+    return "early";
+  case CrashEvidence::Late:
+    return "late";
+  }
+  return "invalid";
+}
+
 std::string submissionKey(std::string_view JobId) {
   return keyOf(RecordKind::Submission, JobId);
 }
