Bound the workers that may crash under a task, and give its job up

What callers saw: a job with a task that crashes its workers was never shown as failed. It was started again for ever and took the work beside it down each time; the rule allows two starts after the third crash.

Cause: an effect of a task on its environment that is not an answer of the worker was not a result of the attempt. Ends 'failed' were counted, a vanished run was not. In addition a start without an answer was repeated to whatever process had the worker's id by then, and what an owner had seen was lost with it.

Change: - CrashHistory keeps the crashes under each member of a unit, in the unit's record; records of earlier versions decode without them. A crash counts when a worker reports another incarnation than the one that got the start. A worker that is lost first (its lease ended, or its gang did) is suspected until it returns: as the same process it was only cut off. - Limit per task: 3 crashes early in confirmed runs, or 4 of any kind, whoever owned the queues. Not more than 4: that leaves one start after the third crash, where the rule allows two. A unit under which a worker has crashed prefers workers without work, and others prefer workers where no such unit has just begun. - A start is sent only to the incarnation that it was placed on, and repeated only after that incarnation has answered a poll. A worker whose entry and reports name different incarnations gets nothing.

Why it works: each further start of a deadly task leads to a crash that is counted or suspected before the unit may be placed again, and the sum is bounded.

--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -75,6 +75,8 @@
   asio::awaitable<void> flush(TermPtr Term);
   asio::awaitable<void> startMember(TermPtr Term, Unit *StartedUnit,
                                     std::size_t Index, std::int64_t Run);
+  asio::awaitable<bool> confirmIncarnation(TermPtr Term, WorkerPtr Worker,
+                                           std::int64_t IncarnationStartMs);
   asio::awaitable<void> stopTask(TermPtr Term, WorkerPtr Worker,
                                  std::string Task, std::int64_t Run);
   asio::awaitable<void> holdLoop(TermPtr Term, WorkerPtr Worker);
--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -60,6 +60,17 @@
          Worker.LastRecordedEnd > Worker.LastAcknowledgedEnd;
 }
 
+/// Whether, as far as is known, the worker answers and is the process that
+/// started at \p IncarnationStartMs.
+inline bool answersAs(const WorkerLink &Worker,
+                      std::int64_t IncarnationStartMs) {
+  const std::int64_t ListedStartMs = Worker.Entry.IncarnationStartMs;
+  const bool ListedAsOther =
+      Worker.Listed && ListedStartMs > 0 && ListedStartMs != IncarnationStartMs;
+  return Worker.UnresponsiveSince.Ms == 0 && !ListedAsOther &&
+         Worker.IncarnationStartMs == IncarnationStartMs;
+}
+
 /// Returns a worker's rack: the last of its labels, which are its kind and
 /// rack.
 /// The result points into \p Entry.
--- a/include/pistachioflow/sched/crash_history.hpp
+++ b/include/pistachioflow/sched/crash_history.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 #include "pistachioflow/base/clock.hpp"
@@ -18,13 +19,40 @@
 /// that share a worker with these. Thread safety: none.
 struct CrashHistory {
   std::vector<CrashRecord> Crashes;
+  /// From then on, suspected crashes no longer hold back a start.
+  Instant SuspicionEnds;
 };
 
 /// Records a crash. One process crashes once under a member's run, however
 /// often that is seen. Returns whether it is new.
 bool recordCrash(CrashHistory &History, CrashRecord Crash);
 
-/// Returns how many workers have crashed under the member.
+/// Records that a worker was lost under a member, so that it may have crashed.
+void suspectCrash(CrashHistory &History, CrashRecord Crash, Instant Now);
+
+/// Settles the suspicions about a worker that has returned: the incarnation
+/// under suspicion was only cut off, any other shows a crash. Returns the
+/// crashes, which count from now on.
+std::vector<CrashRecord> settleSuspicions(CrashHistory &History,
+                                          std::string_view Worker,
+                                          std::int64_t IncarnationStartMs);
+
+/// Returns how many workers have crashed under the member, without suspected
+/// crashes.
 std::int64_t crashesUnder(const CrashHistory &History, std::int64_t Member);
 
+/// Whether so many workers have crashed under one member that the unit must not
+/// start again.
+bool crashLimitReached(const CrashHistory &History);
+
+/// Whether one more start stays within the limit even if every suspected crash
+/// was one. A suspicion stops counting after a while.
+bool mayStartAfterCrashes(const CrashHistory &History, Instant Now);
+
+/// Returns how long a unit waits after the latest crash.
+Duration crashBackoff(const CrashHistory &History, std::int64_t Member);
+
+/// Restores the crashes of a record. Suspicions begin anew at \p Now.
+CrashHistory readCrashes(const UnitRecord &Record, Instant Now);
+
 } // namespace pistachioflow
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -94,6 +94,8 @@
   std::string name() const;
   std::string taskName(std::size_t MemberIndex) const;
   bool waiting() const { return this->Members.empty() && !this->Done; }
+  /// Whether a run of it that has just begun may crash its worker.
+  bool mayCrashWorker() const { return !this->Crashes.Crashes.empty(); }
 };
 
 /// The units of one step of one occurrence.
@@ -250,7 +252,7 @@
   /// Runs of its earlier incarnation have ended; those in \p Report belong to
   /// the new one.
   void workerRestarted(std::string_view Worker, const WorkerReport &Report,
-                       Instant Now);
+                       Instant Now, std::int64_t WallMs);
 
   /// Handles an unresponsive worker. Its members of gangs that began to end
   /// before \p EndedBefore have ended too, although the worker cannot report
@@ -301,8 +303,15 @@
                 std::int64_t WallMs);
   void applyLateEnd(Unit &Unit, std::string_view Worker, const EndedRun &End,
                     Instant Now, std::int64_t WallMs);
-  void recordCrash(Unit &Unit, std::size_t Index,
-                   std::int64_t IncarnationAfter);
+  void recordCrash(Unit &Unit, std::size_t Index, std::int64_t IncarnationAfter,
+                   Instant Now, std::int64_t WallMs);
+  void suspectCrash(Unit &Unit, std::size_t Index, Instant Now);
+  void settleSuspicions(std::string_view Worker,
+                        std::int64_t IncarnationStartMs, Instant Now,
+                        std::int64_t WallMs);
+  void applyCrash(Unit &Unit, const CrashRecord &Crash,
+                  std::int64_t IncarnationAfter, Instant Now,
+                  std::int64_t WallMs);
   void resolvePresumedEnds(std::string_view Worker, const WorkerReport &Report);
   void failIfExhausted(Unit &Unit, Instant Now, std::int64_t WallMs);
   void completeUnit(Unit &Unit, Instant Now, std::int64_t WallMs);
@@ -321,6 +330,8 @@
   std::unordered_map<std::string, Job> Jobs;
   /// Units with a presumed end on the worker.
   std::unordered_map<std::string, std::set<Unit *>> PresumedEndsByWorker;
+  /// Units under which the worker was lost and may have crashed.
+  std::unordered_map<std::string, std::set<Unit *>> SuspectsByWorker;
   std::unordered_map<std::string, std::vector<MemberRef>> MembersByWorker;
   std::set<Unit *> Waiting; ///< Unlocked units without members.
   std::set<Unit *> Active;
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -49,6 +49,8 @@
   /// The group that an earlier round reserved it for; other units prefer other
   /// workers.
   std::size_t ReservedForGroup = NoGroup;
+  bool Occupied = false;          ///< Something runs on it.
+  bool HostsSuspect = false;      ///< A suspect has just begun to run on it.
   bool ReservedThisRound = false; ///< For a unit earlier in the order.
 };
 
@@ -78,6 +80,10 @@
   /// Prefers to wait for runs that are expected to end about as soon as a stop
   /// would end them.
   bool WaitsForExpectedEnds = false;
+  /// A worker has crashed under it. It prefers empty workers, and other units
+  /// prefer workers without it, so that the next crash shows its cause and ends
+  /// little else.
+  bool Suspect = false;
   bool LastAttempt = false; ///< One more failure fails its job.
 };
 
--- a/include/pistachioflow/sched/records.hpp
+++ b/include/pistachioflow/sched/records.hpp
@@ -91,8 +91,10 @@
   std::int64_t Run = 0;
   std::int64_t Member = 0; ///< Index of the member in its unit.
   CrashEvidence Evidence = CrashEvidence::Unconfirmed;
+  /// The worker was lost and has not returned: it may have been cut off only.
+  bool Suspected = false;
 
-  MSGPACK_DEFINE(Worker, IncarnationStartMs, Run, Member, Evidence)
+  MSGPACK_DEFINE(Worker, IncarnationStartMs, Run, Member, Evidence, Suspected)
 };
 
 /// A single task or a gang: its newest run and the state retained across runs.
@@ -108,9 +110,10 @@
   bool GangRunEnded = false;
   std::vector<std::int64_t> FailedRuns;
   std::vector<PresumedEndRecord> PresumedEnds;
+  std::vector<CrashRecord> Crashes;
 
   MSGPACK_DEFINE(Run, Done, Failures, Checkpoint, Places, FailedRun,
-                 GangRunEnded, FailedRuns, PresumedEnds)
+                 GangRunEnded, FailedRuns, PresumedEnds, Crashes)
 };
 
 struct OwnershipRecord {
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -30,6 +30,15 @@
   });
 }
 
+/// Whether a run on the worker has just begun that may crash it.
+bool hostsSuspect(const PlanningView &View, const WorkerLink &Link) {
+  const auto Members = View.Table.membersOn(Link.Id);
+  return std::ranges::any_of(Members, [&View](const MemberRef &Ref) {
+    return Ref.ParentUnit->mayCrashWorker() &&
+           View.Now - Ref.ParentUnit->PlacedAt < EarlyCrashWindow;
+  });
+}
+
 PlaceRecord placeOn(const PlanningView &View, std::string_view Worker) {
   return {std::string(Worker),
           View.Workers.find(Worker)->second->IncarnationStartMs};
@@ -48,13 +57,16 @@
     Worker.FreeNow = Worker.Capacity - View.Table.occupiedCapacity(Id);
     Worker.FreeAfterStops = Worker.FreeNow;
     Worker.FreeAfterExpectedEnds = Worker.FreeNow;
+    // The entry of an earlier incarnation may name another capacity.
     Worker.Usable = Link->Listed && Link->Synced && !Link->Entry.Draining &&
-                    Link->UnresponsiveSince.Ms == 0 &&
+                    answersAs(*Link, Link->IncarnationStartMs) &&
                     !isSuspended(Link->Trust, View.Now);
     Worker.Deprioritized = Link->AvoidedUntil > View.Now;
     Worker.ReservedForUrgent = Link->ReservedForUrgentUntil > View.Now;
     Worker.Verified = isVerified(Link->Trust, View.Now);
     Worker.OnProbation = isOnProbation(Link->Trust, View.Now);
+    Worker.Occupied = !View.Table.membersOn(Id).empty();
+    Worker.HostsSuspect = hostsSuspect(View, *Link);
     if (Worker.OnProbation)
       Worker.Usable = Worker.Usable && !hasNewRun(View, *Link);
     Workers.push_back(std::move(Worker));
@@ -190,6 +202,7 @@
   Entry.Step = &Waiting.spec();
   Entry.TaskCount = Waiting.TaskCount;
   Entry.AvoidedWorkers = &Waiting.FailedWorkers;
+  Entry.Suspect = Waiting.mayCrashWorker();
   // By then, stops would have ended instead.
   Entry.ClaimOverdue = !Waiting.Claim.Workers.empty() &&
                        View.Now - Waiting.Claim.At > View.StopTimeout;
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -42,6 +42,8 @@
     co_return;
   const std::string Task = StartedUnit->taskName(Index);
   const std::string WorkerId = StartedUnit->Members[Index].Worker;
+  const std::int64_t Incarnation =
+      StartedUnit->Members[Index].IncarnationStartMs;
   const auto Existing = Term->Workers.find(WorkerId);
   if (Existing == Term->Workers.end() || !Existing->second->Client) {
     Term->Table.refuse(Task, Run, this->Time.monotonic(), RefusalRetryPause,
@@ -49,6 +51,12 @@
     co_return;
   }
   const WorkerPtr Worker = Existing->second;
+  if (!answersAs(*Worker, Incarnation)) {
+    Term->Table.refuse(Task, Run, this->Time.monotonic(), RefusalRetryPause,
+                       "worker_changed");
+    this->requestRound();
+    co_return;
+  }
   StartOrder Order;
   Order.Task = Task;
   Order.Run = Run;
@@ -96,8 +104,12 @@
     }
     MaybeStarted = true;
     co_await pauseFor(this->Io, OrderRetryPause);
+    const bool Same = Term->Active && co_await this->confirmIncarnation(
+                                          Term, Worker, Incarnation);
     if (!Term->Active)
       co_return;
+    if (!Same)
+      break;
   }
   // The task may or may not run there; after an accepted stop it surely does
   // not.
@@ -107,6 +119,23 @@
   co_await this->stopTask(Term, Worker, Task, Run);
 }
 
+/// Asks a worker that has not answered a start whether it is still the process
+/// that the start was meant for. A start that crashed its worker must not be
+/// repeated to the worker's next incarnation: each would crash by one run.
+asio::awaitable<bool>
+Dispatcher::confirmIncarnation(TermPtr Term, WorkerPtr Worker,
+                               std::int64_t IncarnationStartMs) {
+  if (!answersAs(*Worker, IncarnationStartMs))
+    co_return false;
+  PollRequest Question;
+  Question.Epoch = Term->Epoch;
+  const std::shared_ptr<WorkerClient> Client = Worker->Client;
+  const PollAnswer Answer = co_await Client->poll(Question, OrderTimeout);
+  co_return Answer.Outcome ==
+      OrderOutcome::Accepted &&Answer.Report.IncarnationStartMs ==
+      IncarnationStartMs;
+}
+
 asio::awaitable<void> Dispatcher::stopTask(TermPtr Term, WorkerPtr Worker,
                                            std::string Task, std::int64_t Run) {
   if (!Term->PendingStops.insert({Task, Run}).second)
@@ -216,7 +245,7 @@
   const bool Restarted =
       Report.IncarnationStartMs != Worker->IncarnationStartMs;
   if (Restarted) {
-    Term->Table.workerRestarted(Worker->Id, Report, Now);
+    Term->Table.workerRestarted(Worker->Id, Report, Now, this->Time.wall().Ms);
     Worker->IncarnationStartMs = Report.IncarnationStartMs;
     Worker->LastAppliedEnd = 0;
     Worker->LastRecordedEnd = 0;
--- a/src/pistachioflow/entry/worker_link_test.cpp
+++ b/src/pistachioflow/entry/worker_link_test.cpp
@@ -29,4 +29,30 @@
   REQUIRE(needsHold(Worker, Case.Occupied) == Case.Needed);
 }
 
+TEST_CASE("a start goes only to the process that it was placed on") {
+  struct Row {
+    const char *Description;
+    std::int64_t ReportedStartMs;
+    std::int64_t ListedStartMs; ///< 0: not in its entry.
+    bool Listed;
+    std::int64_t UnresponsiveSinceMs;
+    bool Answers;
+  };
+  const auto Case =
+      GENERATE(Row{"same process", 7, 7, true, 0, true},
+               Row{"entry without a start", 7, 0, true, 0, true},
+               Row{"restarted by its report", 8, 7, true, 0, false},
+               Row{"restarted by its entry", 7, 8, true, 0, false},
+               Row{"entry is outdated", 7, 6, false, 0, true},
+               Row{"unresponsive", 7, 7, true, 500, false});
+  CAPTURE(Case.Description);
+  asio::io_context Io;
+  WorkerLink Worker(Io, "w");
+  Worker.IncarnationStartMs = Case.ReportedStartMs;
+  Worker.Entry.IncarnationStartMs = Case.ListedStartMs;
+  Worker.Listed = Case.Listed;
+  Worker.UnresponsiveSince = {Case.UnresponsiveSinceMs};
+  REQUIRE(answersAs(Worker, 7) == Case.Answers);
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -94,6 +94,8 @@
   if (Worker.ReservedForGroup != NoGroup &&
       Worker.ReservedForGroup != Unit.Group)
     return true;
+  if (Worker.HostsSuspect || (Unit.Suspect && Worker.Occupied))
+    return true;
   return Worker.Deprioritized ||
          (Unit.AvoidedWorkers && Unit.AvoidedWorkers->contains(Worker.Id));
 }
--- a/src/pistachioflow/sched/crash_history.cpp
+++ b/src/pistachioflow/sched/crash_history.cpp
@@ -7,12 +7,40 @@
 
 namespace {
 
+/// This many crashes early in confirmed runs show that the task crashes its
+/// workers. Two are too few: a task may share two workers with tasks that do.
+constexpr std::int64_t MaxEarlyCrashes = 3;
+/// This many crashes of any kind end a unit, since an unanswered start may have
+/// crashed its worker too. The platform allows two starts after the third.
+constexpr std::int64_t MaxCrashes = 4;
+constexpr Duration FirstBackoff{200};
+/// Workers return some seconds after a crash. A worker that does not return for
+/// this long has left.
+constexpr Duration SuspicionTime{20'000};
+
 bool sameProcess(const CrashRecord &Left, const CrashRecord &Right) {
   return Left.Worker == Right.Worker &&
          Left.IncarnationStartMs == Right.IncarnationStartMs &&
          Left.Run == Right.Run && Left.Member == Right.Member;
 }
 
+bool isEarlyCrash(const CrashRecord &Entry) {
+  return !Entry.Suspected && Entry.Evidence == CrashEvidence::Early;
+}
+
+/// Whether at least \p Limit of the crashes that \p Counts accepts lie under
+/// one member.
+template <typename Predicate>
+bool anyMemberReaches(const CrashHistory &History, std::int64_t Limit,
+                      Predicate Counts) {
+  return std::ranges::any_of(History.Crashes, [&](const CrashRecord &First) {
+    return std::ranges::count_if(
+               History.Crashes, [&](const CrashRecord &Entry) {
+                 return Entry.Member == First.Member && Counts(Entry);
+               }) >= Limit;
+  });
+}
+
 } // namespace
 
 bool recordCrash(CrashHistory &History, CrashRecord Crash) {
@@ -25,8 +53,64 @@
   return true;
 }
 
+void suspectCrash(CrashHistory &History, CrashRecord Crash, Instant Now) {
+  // Suspicions that have ended need no more room.
+  if (Now >= History.SuspicionEnds)
+    std::erase_if(History.Crashes, &CrashRecord::Suspected);
+  Crash.Suspected = true;
+  History.SuspicionEnds = Now + SuspicionTime;
+  recordCrash(History, std::move(Crash));
+}
+
+std::vector<CrashRecord> settleSuspicions(CrashHistory &History,
+                                          std::string_view Worker,
+                                          std::int64_t IncarnationStartMs) {
+  const auto Open = [&](const CrashRecord &Entry) {
+    return Entry.Suspected && Entry.Worker == Worker;
+  };
+  std::erase_if(History.Crashes, [&](const CrashRecord &Entry) {
+    return Open(Entry) && Entry.IncarnationStartMs == IncarnationStartMs;
+  });
+  std::vector<CrashRecord> Settled;
+  for (CrashRecord &Entry : History.Crashes) {
+    if (!Open(Entry))
+      continue;
+    Entry.Suspected = false;
+    Settled.push_back(Entry);
+  }
+  return Settled;
+}
+
 std::int64_t crashesUnder(const CrashHistory &History, std::int64_t Member) {
-  return std::ranges::count(History.Crashes, Member, &CrashRecord::Member);
+  return std::ranges::count_if(History.Crashes, [&](const CrashRecord &Entry) {
+    return Entry.Member == Member && !Entry.Suspected;
+  });
+}
+
+bool crashLimitReached(const CrashHistory &History) {
+  const auto Counted = [](const CrashRecord &Entry) {
+    return !Entry.Suspected;
+  };
+  return anyMemberReaches(History, MaxEarlyCrashes, isEarlyCrash) ||
+         anyMemberReaches(History, MaxCrashes, Counted);
+}
+
+bool mayStartAfterCrashes(const CrashHistory &History, Instant Now) {
+  const bool SuspicionsCount = Now < History.SuspicionEnds;
+  return !anyMemberReaches(History, MaxCrashes,
+                           [SuspicionsCount](const CrashRecord &Entry) {
+                             return !Entry.Suspected || SuspicionsCount;
+                           });
+}
+
+Duration crashBackoff(const CrashHistory &History, std::int64_t Member) {
+  const std::int64_t Crashes =
+      std::clamp<std::int64_t>(crashesUnder(History, Member), 1, MaxCrashes);
+  return FirstBackoff * (std::int64_t{1} << (Crashes - 1));
+}
+
+CrashHistory readCrashes(const UnitRecord &Record, Instant Now) {
+  return {Record.Crashes, Now + SuspicionTime};
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -153,6 +153,10 @@
   Unit->Attempts = readAttempts(Record, LeaseEnds);
   for (const PresumedEnd &End : Unit->Attempts.PresumedEnds)
     this->PresumedEndsByWorker[End.Worker].insert(Unit);
+  Unit->Crashes = readCrashes(Record, Now);
+  for (const CrashRecord &Crash : Unit->Crashes.Crashes)
+    if (Crash.Suspected)
+      this->SuspectsByWorker[Crash.Worker].insert(Unit);
   if (Record.GangRunEnded)
     Unit->FirstMemberEndedAt = Now;
   Unit->Checkpoint = Record.Checkpoint;
@@ -251,7 +255,8 @@
     const std::int64_t Limit = Unit->ParentJob->Submission.Terms.MaxAttempts;
     const bool MayRun =
         Unit->spec().LongRunning || mayRunAgain(Unit->Attempts, Limit, Now);
-    if (MayRun && Unit->NotBefore <= Now)
+    if (MayRun && Unit->NotBefore <= Now &&
+        mayStartAfterCrashes(Unit->Crashes, Now))
       Ready.push_back(Unit);
   }
   return Ready;
--- a/src/pistachioflow/sched/job_table_crashes.cpp
+++ b/src/pistachioflow/sched/job_table_crashes.cpp
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "pistachioflow/sched/job_table.hpp"
 
@@ -17,28 +19,76 @@
 
 CrashRecord crashOf(const Unit &Unit, std::size_t Index) {
   const Member &Crashed = Unit.Members[Index];
-  return {Crashed.Worker, Crashed.IncarnationStartMs, Unit.Run,
-          static_cast<std::int64_t>(Index), evidenceOf(Unit, Crashed)};
+  CrashRecord Crash;
+  Crash.Worker = Crashed.Worker;
+  Crash.IncarnationStartMs = Crashed.IncarnationStartMs;
+  Crash.Run = Unit.Run;
+  Crash.Member = static_cast<std::int64_t>(Index);
+  Crash.Evidence = evidenceOf(Unit, Crashed);
+  return Crash;
 }
 
 } // namespace
 
-/// Records the crash of a member's worker. Precondition: the member's start was
+/// Counts the crash of a member's worker. Precondition: the member's start was
 /// sent to the worker's earlier incarnation, or may have been.
 void JobTable::recordCrash(Unit &Unit, std::size_t Index,
-                           std::int64_t IncarnationAfter) {
-  CrashRecord Crash = crashOf(Unit, Index);
-  const std::string Worker = Crash.Worker;
-  const std::int64_t IncarnationBefore = Crash.IncarnationStartMs;
-  const std::string Evidence(toString(Crash.Evidence));
-  if (!pistachioflow::recordCrash(Unit.Crashes, std::move(Crash)))
+                           std::int64_t IncarnationAfter, Instant Now,
+                           std::int64_t WallMs) {
+  const CrashRecord Crash = crashOf(Unit, Index);
+  if (pistachioflow::recordCrash(Unit.Crashes, Crash))
+    this->applyCrash(Unit, Crash, IncarnationAfter, Now, WallMs);
+}
+
+/// Remembers that a member's worker was lost. Whether it crashed shows when it
+/// returns.
+void JobTable::suspectCrash(Unit &Unit, std::size_t Index, Instant Now) {
+  const MemberPhase Phase = Unit.Members[Index].Phase;
+  if (Phase == MemberPhase::Planned || Phase == MemberPhase::Refused)
     return;
-  this->recordEvent(TableEvent::Kind::WorkerCrashed, Unit.taskName(Index),
-                    Worker, Unit.Run, Evidence);
+  pistachioflow::suspectCrash(Unit.Crashes, crashOf(Unit, Index), Now);
+  this->SuspectsByWorker[Unit.Members[Index].Worker].insert(&Unit);
+  this->markDirty(Unit);
+}
+
+void JobTable::settleSuspicions(std::string_view Worker,
+                                std::int64_t IncarnationStartMs, Instant Now,
+                                std::int64_t WallMs) {
+  const auto Match = this->SuspectsByWorker.find(std::string(Worker));
+  const bool IncarnationKnown = IncarnationStartMs > 0;
+  if (Match == this->SuspectsByWorker.end() || !IncarnationKnown)
+    return;
+  const std::set<Unit *> Units = std::exchange(Match->second, {});
+  this->SuspectsByWorker.erase(Match);
+  for (Unit *Suspect : Units) {
+    this->markDirty(*Suspect);
+    for (const CrashRecord &Crash : pistachioflow::settleSuspicions(
+             Suspect->Crashes, Worker, IncarnationStartMs))
+      this->applyCrash(*Suspect, Crash, IncarnationStartMs, Now, WallMs);
+  }
+}
+
+/// Holds back the unit after a crash under it, and gives its job up at the
+/// limit.
+void JobTable::applyCrash(Unit &Unit, const CrashRecord &Crash,
+                          std::int64_t IncarnationAfter, Instant Now,
+                          std::int64_t WallMs) {
+  this->recordEvent(TableEvent::Kind::WorkerCrashed,
+                    Unit.taskName(static_cast<std::size_t>(Crash.Member)),
+                    Crash.Worker, Crash.Run,
+                    std::string(toString(Crash.Evidence)));
   TableEvent &Event = this->Events.back();
-  Event.IncarnationBefore = IncarnationBefore;
+  Event.IncarnationBefore = Crash.IncarnationStartMs;
   Event.IncarnationAfter = IncarnationAfter;
-  Event.Crashes = crashesUnder(Unit.Crashes, static_cast<std::int64_t>(Index));
+  Event.Crashes = crashesUnder(Unit.Crashes, Crash.Member);
+  Unit.FailedWorkers.insert(Crash.Worker);
+  Unit.NotBefore =
+      std::max(Unit.NotBefore, Now + crashBackoff(Unit.Crashes, Crash.Member));
+  this->markDirty(Unit);
+  const bool GivenUp = !Unit.Done && !hasEnded(Unit.ParentJob->Phase) &&
+                       crashLimitReached(Unit.Crashes);
+  if (GivenUp)
+    this->endJob(*Unit.ParentJob, JobPhase::Failed, WallMs, Now, "crashes");
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/job_table_records.cpp
+++ b/src/pistachioflow/sched/job_table_records.cpp
@@ -14,6 +14,7 @@
   Record.Checkpoint = Unit.Checkpoint;
   Record.GangRunEnded = Unit.FirstMemberEndedAt.Ms != 0;
   writeAttempts(Unit.Attempts, Record);
+  Record.Crashes = Unit.Crashes.Crashes;
   const bool AnyActive =
       std::ranges::any_of(Unit.Members, [](const Member &Entry) {
         return Entry.Phase != MemberPhase::Ended;
--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -52,6 +52,7 @@
                                                const WorkerReport &Report,
                                                Instant AskedAt, Instant Now,
                                                std::int64_t WallMs) {
+  this->settleSuspicions(Worker, Report.IncarnationStartMs, Now, WallMs);
   std::vector<RunningTask> Unwanted;
   std::set<std::pair<Unit *, std::size_t>> Reported;
   for (const RunningTask &Task : Report.Running) {
@@ -211,6 +212,9 @@
         this->dropClaim(Entry, Now, "job_ended");
         for (const PresumedEnd &End : Entry.Attempts.PresumedEnds)
           this->PresumedEndsByWorker[End.Worker].erase(&Entry);
+        for (const CrashRecord &Crash : Entry.Crashes.Crashes)
+          if (Crash.Suspected)
+            this->SuspectsByWorker[Crash.Worker].erase(&Entry);
         if (!Entry.Done)
           this->stopMembers(Entry, Now, "job_ended");
         const std::string Name = Entry.name();
@@ -221,7 +225,8 @@
 }
 
 void JobTable::workerRestarted(std::string_view Worker,
-                               const WorkerReport &Report, Instant Now) {
+                               const WorkerReport &Report, Instant Now,
+                               std::int64_t WallMs) {
   const std::int64_t BornWallMs = Report.IncarnationStartMs;
   const auto Match = this->MembersByWorker.find(std::string(Worker));
   if (Match == this->MembersByWorker.end())
@@ -240,7 +245,7 @@
     const bool MayHaveCrashed = Entry.Phase == MemberPhase::Sent ||
                                 (!Shown && Entry.Phase != MemberPhase::Planned);
     if (MayHaveCrashed)
-      this->recordCrash(*Ref.ParentUnit, Ref.Index, BornWallMs);
+      this->recordCrash(*Ref.ParentUnit, Ref.Index, BornWallMs, Now, WallMs);
     // An order in flight may have reached the new incarnation, or may still
     // reach it.
     const bool InFlight =
@@ -274,6 +279,7 @@
                       Ref.ParentUnit->Run, "gang_ended");
     presumeEnd(Ref.ParentUnit->Attempts, Worker, Ref.ParentUnit->Run,
                LeaseEnds);
+    this->suspectCrash(*Ref.ParentUnit, Ref.Index, Now);
     this->PresumedEndsByWorker[std::string(Worker)].insert(Ref.ParentUnit);
     this->endMember(*Ref.ParentUnit, Ref.Index, Now);
     this->requeueIfEnded(*Ref.ParentUnit, Now);
@@ -292,6 +298,7 @@
     this->recordEvent(TableEvent::Kind::RunLost,
                       Ref.ParentUnit->taskName(Ref.Index), std::string(Worker),
                       Ref.ParentUnit->Run, std::string(Reason));
+    this->suspectCrash(*Ref.ParentUnit, Ref.Index, Now);
     this->endMember(*Ref.ParentUnit, Ref.Index, Now);
     this->stopMembers(*Ref.ParentUnit, Now, "member_lost");
   }
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -237,6 +237,11 @@
   void start(std::size_t Index, WorkerChoice Chosen) {
     const WaitingUnit &Unit = this->Waiting[Index];
     occupy(this->Workers, Chosen, countedDemand(*Unit.Step));
+    for (const std::size_t Worker : Chosen) {
+      this->Workers[Worker].Occupied = true;
+      this->Workers[Worker].HostsSuspect =
+          this->Workers[Worker].HostsSuspect || Unit.Suspect;
+    }
     if (Unit.Priority == 0)
       this->Guarantees.use(Unit.Workspace, acceleratorsOf(Unit));
     this->addToGroup(Index, Chosen);
