Acknowledge only ends that the worker's present process numbered

What callers would see: a worker that restarts while the owner's append is in flight is told to forget ends of its new process that were never applied: a run that ended done is started again, or its failure isn't counted.

Cause: flush() keeps (worker, number) while the write lasts; holdAnswered() sets the numbers to 0 when the worker restarts; then flush() raised LastRecordedEnd from 0 to the earlier process's number, and the next hold acknowledged up to it.

Change: the three numbers of a worker are one struct, EndNumbers, with the incarnation that counts them; markRecorded() ignores numbers of another one.

Not shown by a process test: the window is as short as an append.

--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -7,6 +7,7 @@
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/entry/coroutines.hpp"
+#include "pistachioflow/entry/end_numbers.hpp"
 #include "pistachioflow/platform/worker_client.hpp"
 #include "pistachioflow/sched/worker.hpp"
 #include "pistachioflow/sched/worker_reliability.hpp"
@@ -35,15 +36,10 @@
   /// Until then, small tasks of lower priorities prefer other workers.
   Instant ReservedForUrgentUntil;
   Instant EarliestRemovalAt; ///< Set while it drains: not removed before this.
-  /// \name Numbers of ends of runs, counted by the worker
-  /// @{
-  std::int64_t LastAppliedEnd = 0;
-  std::int64_t LastRecordedEnd = 0;     ///< Its records are stored.
-  std::int64_t LastAcknowledgedEnd = 0; ///< The worker was told to forget it.
-  /// @}
-  Instant AvoidedUntil; ///< Other workers are preferred until then.
+  EndNumbers Ends;           ///< Of its current incarnation.
+  Instant AvoidedUntil;      ///< Other workers are preferred until then.
   WorkerReliability Trust;
-  Signal Wake; ///< Notified when LastRecordedEnd grows.
+  Signal Wake; ///< Notified when ends are recorded.
 
   /// The worker's clock at \p Now.
   std::int64_t clockAt(Instant Now) const {
@@ -56,8 +52,7 @@
 /// it answers, since nothing is placed on it before.
 inline bool needsHold(const WorkerLink &Worker, bool Occupied) {
   return !Worker.Synced || Worker.NeedsImmediateHold || Occupied ||
-         Worker.UnresponsiveSince.Ms != 0 ||
-         Worker.LastRecordedEnd > Worker.LastAcknowledgedEnd;
+         Worker.UnresponsiveSince.Ms != 0 || Worker.Ends.awaitAcknowledgement();
 }
 
 /// Whether, as far as is known, the worker answers and is the process that
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -463,10 +463,10 @@
     for (std::size_t Index = 0; Index < Entry->Members.size(); ++Index)
       if (Entry->Members[Index].Phase == MemberPhase::Planned)
         Starts.push_back({{Entry, Index}, Entry->Run});
-  std::vector<std::pair<WorkerPtr, std::int64_t>> Ends;
+  std::vector<std::pair<WorkerPtr, EndNumbers>> Ends;
   for (auto &[Id, Worker] : Term->Workers)
-    if (Worker->LastAppliedEnd > Worker->LastRecordedEnd)
-      Ends.emplace_back(Worker, Worker->LastAppliedEnd);
+    if (Worker->Ends.awaitRecords())
+      Ends.emplace_back(Worker, Worker->Ends);
   WriteOutcome Outcome = WriteOutcome::Stored;
   if (!Records.empty())
     Outcome =
@@ -478,8 +478,8 @@
     this->OnFenced("store");
     co_return;
   }
-  for (auto &[Worker, Number] : Ends) {
-    Worker->LastRecordedEnd = std::max(Worker->LastRecordedEnd, Number);
+  for (const auto &[Worker, Stored] : Ends) {
+    markRecorded(Worker->Ends, Stored);
     Worker->Wake.notify();
     this->ensureHoldLoop(Term, Worker);
   }
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -197,7 +197,7 @@
     // acknowledged before its report has named its incarnation.
     const bool SameIncarnation =
         Worker->Synced && Worker->UnresponsiveSince.Ms == 0;
-    Order.AcknowledgedEnd = SameIncarnation ? Worker->LastRecordedEnd : 0;
+    Order.AcknowledgedEnd = SameIncarnation ? Worker->Ends.Recorded : 0;
     // The leases of an unresponsive worker are not renewed, so that they
     // expire.
     const bool Renews = Worker->Synced && Worker->UnresponsiveSince.Ms == 0;
@@ -223,12 +223,12 @@
       co_await pauseFor(this->Io, HoldRetryPause);
       continue;
     }
-    Worker->LastAcknowledgedEnd =
-        std::max(Worker->LastAcknowledgedEnd, Order.AcknowledgedEnd);
+    Worker->Ends.Acknowledged =
+        std::max(Worker->Ends.Acknowledged, Order.AcknowledgedEnd);
     this->holdAnswered(Term, Worker, Answer.Report, SentAt);
     // The worker answers every hold at once while ends are unacknowledged, so
     // the next hold waits until they are stored.
-    while (Term->Active && Worker->LastAppliedEnd > Worker->LastRecordedEnd)
+    while (Term->Active && Worker->Ends.awaitRecords())
       co_await Worker->Wake.wait(HoldWait);
   }
   Worker->HoldLoopRunning = false;
@@ -247,9 +247,8 @@
   if (Restarted) {
     Term->Table.workerRestarted(Worker->Id, Report, Now, this->Time.wall().Ms);
     Worker->IncarnationStartMs = Report.IncarnationStartMs;
-    Worker->LastAppliedEnd = 0;
-    Worker->LastRecordedEnd = 0;
-    Worker->LastAcknowledgedEnd = 0;
+    Worker->Ends = {};
+    Worker->Ends.IncarnationStartMs = Report.IncarnationStartMs;
   }
   // The worker reads its clock when it answers, so ClockMs belongs to about Now
   // however long the hold waited.
@@ -259,7 +258,7 @@
   const std::vector<RunningTask> Unwanted = Term->Table.applyReport(
       Worker->Id, Report, SentAt, Now, this->Time.wall().Ms);
   for (const EndedRun &End : Report.Ended)
-    Worker->LastAppliedEnd = std::max(Worker->LastAppliedEnd, End.Number);
+    Worker->Ends.Applied = std::max(Worker->Ends.Applied, End.Number);
   for (const RunningTask &Task : Unwanted) {
     logEvent(LogLevel::Warning, "unwanted_run",
              {{"task", Task.Task}, {"run", Task.Run}, {"worker", Worker->Id}});
--- a/src/pistachioflow/entry/worker_link_test.cpp
+++ b/src/pistachioflow/entry/worker_link_test.cpp
@@ -25,7 +25,7 @@
   WorkerLink Worker(Io, "w");
   Worker.Synced = Case.Synced;
   Worker.UnresponsiveSince = {Case.UnresponsiveSinceMs};
-  Worker.LastRecordedEnd = Case.LastRecordedEnd;
+  Worker.Ends.Recorded = Case.LastRecordedEnd;
   REQUIRE(needsHold(Worker, Case.Occupied) == Case.Needed);
 }
 
