Check a worker's capacity again before a decided start is sent

What the platform saw: a start beyond the capacity of a worker that does not guard it (rule LIMIT), if the worker shrank while the start's record was being stored.

Cause: the capacity is read when a start is decided. On a slow store the start is sent seconds later, whatever the worker's entry says by then.

Change: startMember() refuses a start locally when its worker's runs no longer fit what the worker shows (start_refused, capacity_shrank), as it does when the worker has restarted; a repetition is given up for the same reason. The stand-in's store can delay appends only.

Open: runs that a worker reports and the job table doesn't know (unwanted_run) are stopped, but not counted against the worker's capacity meanwhile.

--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -23,6 +23,7 @@
   bool Unresponsive = false;  ///< Does nothing and does not answer.
   double LostAnswerShare = 0; ///< Share of appends done, but unanswered.
   Duration Delay{0};          ///< Before each answer.
+  Duration AppendDelay{0};    ///< Before an append is carried out.
 };
 
 /// Faults of the simulated workers; none by default.
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -5,6 +5,7 @@
 #include "pistachioflow/entry/dispatcher.hpp"
 #include "pistachioflow/entry/dispatcher_ownership_term.hpp"
 #include "pistachioflow/entry/metrics.hpp"
+#include "pistachioflow/sched/placement.hpp"
 
 namespace pistachioflow {
 
@@ -33,6 +34,19 @@
 /// start.
 constexpr Duration AvoidAfterRefusal{500};
 
+/// Why a placed start must not be sent any more; empty: it may. The worker may
+/// have changed since the decision, since its record takes a while to store.
+std::string_view startObstacle(const JobTable &Table, const WorkerLink &Worker,
+                               std::int64_t IncarnationStartMs) {
+  if (!answersAs(Worker, IncarnationStartMs))
+    return "worker_changed";
+  const Resources Free =
+      Worker.Entry.Capacity - Table.occupiedCapacity(Worker.Id);
+  const bool Within =
+      Free.MilliCores >= 0 && Free.MemoryMb >= 0 && Free.Accelerators >= 0;
+  return Within ? "" : "capacity_shrank";
+}
+
 } // namespace
 
 asio::awaitable<void> Dispatcher::startMember(TermPtr Term, Unit *StartedUnit,
@@ -51,9 +65,11 @@
     co_return;
   }
   const WorkerPtr Worker = Existing->second;
-  if (!answersAs(*Worker, Incarnation)) {
+  const std::string_view Obstacle =
+      startObstacle(Term->Table, *Worker, Incarnation);
+  if (!Obstacle.empty()) {
     Term->Table.refuse(Task, Run, this->Time.monotonic(), RefusalRetryPause,
-                       "worker_changed");
+                       Obstacle);
     this->requestRound();
     co_return;
   }
@@ -104,8 +120,12 @@
     }
     MaybeStarted = true;
     co_await pauseFor(this->Io, OrderRetryPause);
-    const bool Same = Term->Active && co_await this->confirmIncarnation(
-                                          Term, Worker, Incarnation);
+    if (!Term->Active)
+      co_return;
+    if (!startObstacle(Term->Table, *Worker, Incarnation).empty())
+      break;
+    const bool Same =
+        co_await this->confirmIncarnation(Term, Worker, Incarnation);
     if (!Term->Active)
       co_return;
     if (!Same)
@@ -125,8 +145,6 @@
 asio::awaitable<bool>
 Dispatcher::confirmIncarnation(TermPtr Term, WorkerPtr Worker,
                                std::int64_t IncarnationStartMs) {
-  if (!answersAs(*Worker, IncarnationStartMs))
-    co_return false;
   PollRequest Question;
   Question.Epoch = Term->Epoch;
   const std::shared_ptr<WorkerClient> Client = Worker->Client;
--- a/src/pistachioflow/platform_standin/platform_server.cpp
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -157,6 +157,8 @@
   if (this->StoreBehaviour.Refusing)
     co_return Response;
   if (Request.Target.starts_with("/log-append")) {
+    if (this->StoreBehaviour.AppendDelay.Ms > 0)
+      co_await pauseFor(this->Io, this->StoreBehaviour.AppendDelay);
     Response = this->serveAppend(Request.Target, Request.Body);
     if (this->chance(this->StoreBehaviour.LostAnswerShare))
       co_await pauseFor(this->Io, NoAnswerDelay);
--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -19,7 +19,6 @@
 
 using Json = nlohmann::json;
 
-constexpr Resources WorkerCapacity{16'000, 16'000, 8};
 constexpr std::size_t WorkersPerRack = 4;
 constexpr Duration PollPause{25};
 constexpr Duration RetryPause{100};
--- a/tests/platform/fleet.hpp
+++ b/tests/platform/fleet.hpp
@@ -18,6 +18,9 @@
 
 namespace pistachioflow {
 
+/// What each worker of a fleet offers at first.
+inline constexpr Resources WorkerCapacity{16'000, 16'000, 8};
+
 /// One daemon process of a test. It reaches the store through a proxy.
 struct FleetMember {
   std::string Name;
