--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -13,6 +13,7 @@
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/sched/attempt_history.hpp"
+#include "pistachioflow/sched/crash_history.hpp"
 #include "pistachioflow/sched/records.hpp"
 #include "pistachioflow/sched/worker.hpp"
 
@@ -67,6 +68,7 @@
   std::int64_t TaskCount = 1;
   std::int64_t Run = 0;
   AttemptHistory Attempts;
+  CrashHistory Crashes;
   /// All members of the newest run were running at the same time.
   bool FullyStarted = false;
   /// When the first member of a fully started gang ended; 0: none has. The
@@ -94,6 +96,8 @@
   std::string name() const;
   std::string taskName(std::size_t MemberIndex) const;
   bool waiting() const { return this->Members.empty() && !this->Done; }
+  /// Whether a run of it that has just begun may crash its worker.
+  bool mayCrashWorker() const { return !this->Crashes.Crashes.empty(); }
 };
 
 /// The units of one step of one occurrence.
@@ -140,8 +144,9 @@
     Confirmed,
     Refused,
     Ended,
-    RunLost, ///< The worker no longer has the run.
-    Stuck,   ///< A run uses no CPU although its gang is complete.
+    RunLost,       ///< The worker no longer has the run.
+    WorkerCrashed, ///< Under a task.
+    Stuck,         ///< A run uses no CPU although its gang is complete.
     StopRequested,
     Reserved,
     ClaimReplaced, ///< Started, but not on all workers preempted for it.
@@ -161,6 +166,12 @@
   /// checkpoint.
   std::string Queue;
   std::int64_t EstimatedMs = 0;
+  /// \name Of a crash
+  /// @{
+  std::int64_t IncarnationBefore = 0;
+  std::int64_t IncarnationAfter = 0;
+  std::int64_t Crashes = 0; ///< Of workers under the task, with this one.
+  /// @}
 };
 
 /// State of every job at the instance that owns the queues: a state machine
@@ -247,10 +258,11 @@
                                        Instant AskedAt, Instant Now,
                                        std::int64_t WallMs);
 
-  /// Handles a worker's restart under the same id. Runs of its earlier
-  /// incarnation have ended; those in \p Report belong to the new one.
+  /// Handles a worker's restart under the same id, which is how a crash shows.
+  /// Runs of its earlier incarnation have ended; those in \p Report belong to
+  /// the new one.
   void workerRestarted(std::string_view Worker, const WorkerReport &Report,
-                       Instant Now);
+                       Instant Now, std::int64_t WallMs);
 
   /// Handles an unresponsive worker. Its members of gangs that began to end
   /// before \p EndedBefore have ended too, although the worker cannot report
@@ -301,6 +313,15 @@
                 std::int64_t WallMs);
   void applyLateEnd(Unit &Unit, std::string_view Worker, const EndedRun &End,
                     Instant Now, std::int64_t WallMs);
+  void recordCrash(Unit &Unit, std::size_t Index, std::int64_t IncarnationAfter,
+                   Instant Now, std::int64_t WallMs);
+  void suspectCrash(Unit &Unit, std::size_t Index, Instant Now);
+  void settleSuspicions(std::string_view Worker,
+                        std::int64_t IncarnationStartMs, Instant Now,
+                        std::int64_t WallMs);
+  void applyCrash(Unit &Unit, const CrashRecord &Crash,
+                  std::int64_t IncarnationAfter, Instant Now,
+                  std::int64_t WallMs);
   void resolvePresumedEnds(std::string_view Worker, const WorkerReport &Report);
   void failIfExhausted(Unit &Unit, Instant Now, std::int64_t WallMs);
   void completeUnit(Unit &Unit, Instant Now, std::int64_t WallMs);
@@ -319,6 +340,8 @@
   std::unordered_map<std::string, Job> Jobs;
   /// Units with a presumed end on the worker.
   std::unordered_map<std::string, std::set<Unit *>> PresumedEndsByWorker;
+  /// Units under which the worker was lost and may have crashed.
+  std::unordered_map<std::string, std::set<Unit *>> SuspectsByWorker;
   std::unordered_map<std::string, std::vector<MemberRef>> MembersByWorker;
   std::set<Unit *> Waiting; ///< Unlocked units without members.
   std::set<Unit *> Active;
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -58,6 +58,9 @@
   case TableEvent::Kind::RunLost:
     Metrics.RunsLost.add();
     break;
+  case TableEvent::Kind::WorkerCrashed:
+    Metrics.RunsCrashed.add();
+    break;
   case TableEvent::Kind::JobEnded:
     Metrics.JobsEnded.add();
     Metrics.JobMs.record(ElapsedMs);
@@ -75,6 +78,18 @@
   }
 }
 
+void logCrash(const TableEvent &Event, std::int64_t Epoch) {
+  logEvent(LogLevel::Warning, "worker_crashed",
+           {{"id", Event.Subject},
+            {"run", Event.Run},
+            {"worker", Event.Worker},
+            {"evidence", Event.Detail},
+            {"crashes", Event.Crashes},
+            {"incarnation_before", Event.IncarnationBefore},
+            {"incarnation_after", Event.IncarnationAfter},
+            {"epoch", Epoch}});
+}
+
 /// Keeps \p Follower alive until its last read has ended.
 asio::awaitable<void> followTopic(std::shared_ptr<TopicFollower> Follower) {
   co_await Follower->run();
@@ -424,10 +439,10 @@
     for (std::size_t Index = 0; Index < Entry->Members.size(); ++Index)
       if (Entry->Members[Index].Phase == MemberPhase::Planned)
         Starts.push_back({{Entry, Index}, Entry->Run});
-  std::vector<std::pair<WorkerPtr, std::int64_t>> Ends;
+  std::vector<std::pair<WorkerPtr, EndNumbers>> Ends;
   for (auto &[Id, Worker] : Term->Workers)
-    if (Worker->LastAppliedEnd > Worker->LastRecordedEnd)
-      Ends.emplace_back(Worker, Worker->LastAppliedEnd);
+    if (Worker->Ends.awaitRecords())
+      Ends.emplace_back(Worker, Worker->Ends);
   WriteOutcome Outcome = WriteOutcome::Stored;
   if (!Records.empty())
     Outcome =
@@ -439,8 +454,8 @@
     this->OnFenced("store");
     co_return;
   }
-  for (auto &[Worker, Number] : Ends) {
-    Worker->LastRecordedEnd = std::max(Worker->LastRecordedEnd, Number);
+  for (const auto &[Worker, Stored] : Ends) {
+    markRecorded(Worker->Ends, Stored);
     Worker->Wake.notify();
     this->ensureHoldLoop(Term, Worker);
   }
@@ -496,11 +511,11 @@
 }
 
 void Dispatcher::logEvents(OwnershipTerm &Term) {
-  constexpr std::array Names{"placed",       "started",       "start_refused",
-                             "run_ended",    "run_vanished",  "run_stuck",
-                             "stop_wanted",  "reserved",      "claim_replaced",
-                             "claim_failed", "still_waiting", "unit_done",
-                             "job_ended"};
+  constexpr std::array Names{"placed",         "started",      "start_refused",
+                             "run_ended",      "run_vanished", "worker_crashed",
+                             "run_stuck",      "stop_wanted",  "reserved",
+                             "claim_replaced", "claim_failed", "still_waiting",
+                             "unit_done",      "job_ended"};
   for (const TableEvent &Event : Term.Table.takeEvents()) {
     this->updateFromEvent(Term, Event);
     countEvent(Event);
@@ -508,6 +523,10 @@
         Names[static_cast<std::size_t>(Event.EventKind)];
     if (Event.EventKind == TableEvent::Kind::UnitDone)
       continue;
+    if (Event.EventKind == TableEvent::Kind::WorkerCrashed) {
+      logCrash(Event, Term.Epoch);
+      continue;
+    }
     logEvent(LogLevel::Info, Name,
              {{"id", Event.Subject},
               {"run", Event.Run},
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -5,6 +5,7 @@
 #include "pistachioflow/entry/dispatcher.hpp"
 #include "pistachioflow/entry/dispatcher_ownership_term.hpp"
 #include "pistachioflow/entry/metrics.hpp"
+#include "pistachioflow/sched/placement.hpp"
 
 namespace pistachioflow {
 
@@ -33,6 +34,19 @@
 /// start.
 constexpr Duration AvoidAfterRefusal{500};
 
+/// Why a placed start must not be sent any more; empty: it may. The worker may
+/// have changed since the decision, since its record takes a while to store.
+std::string_view startObstacle(const JobTable &Table, const WorkerLink &Worker,
+                               std::int64_t IncarnationStartMs) {
+  if (!answersAs(Worker, IncarnationStartMs))
+    return "worker_changed";
+  const Resources Free =
+      Worker.Entry.Capacity - Table.occupiedCapacity(Worker.Id);
+  const bool Within =
+      Free.MilliCores >= 0 && Free.MemoryMb >= 0 && Free.Accelerators >= 0;
+  return Within ? "" : "capacity_shrank";
+}
+
 } // namespace
 
 asio::awaitable<void> Dispatcher::startMember(TermPtr Term, Unit *StartedUnit,
@@ -42,6 +56,8 @@
     co_return;
   const std::string Task = StartedUnit->taskName(Index);
   const std::string WorkerId = StartedUnit->Members[Index].Worker;
+  const std::int64_t Incarnation =
+      StartedUnit->Members[Index].IncarnationStartMs;
   const auto Existing = Term->Workers.find(WorkerId);
   if (Existing == Term->Workers.end() || !Existing->second->Client) {
     Term->Table.refuse(Task, Run, this->Time.monotonic(), RefusalRetryPause,
@@ -49,6 +65,14 @@
     co_return;
   }
   const WorkerPtr Worker = Existing->second;
+  const std::string_view Obstacle =
+      startObstacle(Term->Table, *Worker, Incarnation);
+  if (!Obstacle.empty()) {
+    Term->Table.refuse(Task, Run, this->Time.monotonic(), RefusalRetryPause,
+                       Obstacle);
+    this->requestRound();
+    co_return;
+  }
   StartOrder Order;
   Order.Task = Task;
   Order.Run = Run;
@@ -98,6 +122,14 @@
     co_await pauseFor(this->Io, OrderRetryPause);
     if (!Term->Active)
       co_return;
+    if (!startObstacle(Term->Table, *Worker, Incarnation).empty())
+      break;
+    const bool Same =
+        co_await this->confirmIncarnation(Term, Worker, Incarnation);
+    if (!Term->Active)
+      co_return;
+    if (!Same)
+      break;
   }
   // The task may or may not run there; after an accepted stop it surely does
   // not.
@@ -107,6 +139,21 @@
   co_await this->stopTask(Term, Worker, Task, Run);
 }
 
+/// Asks a worker that has not answered a start whether it is still the process
+/// that the start was meant for. A start that crashed its worker must not be
+/// repeated to the worker's next incarnation: each would crash by one run.
+asio::awaitable<bool>
+Dispatcher::confirmIncarnation(TermPtr Term, WorkerPtr Worker,
+                               std::int64_t IncarnationStartMs) {
+  PollRequest Question;
+  Question.Epoch = Term->Epoch;
+  const std::shared_ptr<WorkerClient> Client = Worker->Client;
+  const PollAnswer Answer = co_await Client->poll(Question, OrderTimeout);
+  co_return Answer.Outcome ==
+      OrderOutcome::Accepted &&Answer.Report.IncarnationStartMs ==
+      IncarnationStartMs;
+}
+
 asio::awaitable<void> Dispatcher::stopTask(TermPtr Term, WorkerPtr Worker,
                                            std::string Task, std::int64_t Run) {
   if (!Term->PendingStops.insert({Task, Run}).second)
@@ -168,7 +215,7 @@
     // acknowledged before its report has named its incarnation.
     const bool SameIncarnation =
         Worker->Synced && Worker->UnresponsiveSince.Ms == 0;
-    Order.AcknowledgedEnd = SameIncarnation ? Worker->LastRecordedEnd : 0;
+    Order.AcknowledgedEnd = SameIncarnation ? Worker->Ends.Recorded : 0;
     // The leases of an unresponsive worker are not renewed, so that they
     // expire.
     const bool Renews = Worker->Synced && Worker->UnresponsiveSince.Ms == 0;
@@ -194,12 +241,12 @@
       co_await pauseFor(this->Io, HoldRetryPause);
       continue;
     }
-    Worker->LastAcknowledgedEnd =
-        std::max(Worker->LastAcknowledgedEnd, Order.AcknowledgedEnd);
+    Worker->Ends.Acknowledged =
+        std::max(Worker->Ends.Acknowledged, Order.AcknowledgedEnd);
     this->holdAnswered(Term, Worker, Answer.Report, SentAt);
     // The worker answers every hold at once while ends are unacknowledged, so
     // the next hold waits until they are stored.
-    while (Term->Active && Worker->LastAppliedEnd > Worker->LastRecordedEnd)
+    while (Term->Active && Worker->Ends.awaitRecords())
       co_await Worker->Wake.wait(HoldWait);
   }
   Worker->HoldLoopRunning = false;
@@ -216,11 +263,10 @@
   const bool Restarted =
       Report.IncarnationStartMs != Worker->IncarnationStartMs;
   if (Restarted) {
-    Term->Table.workerRestarted(Worker->Id, Report, Now);
+    Term->Table.workerRestarted(Worker->Id, Report, Now, this->Time.wall().Ms);
     Worker->IncarnationStartMs = Report.IncarnationStartMs;
-    Worker->LastAppliedEnd = 0;
-    Worker->LastRecordedEnd = 0;
-    Worker->LastAcknowledgedEnd = 0;
+    Worker->Ends = {};
+    Worker->Ends.IncarnationStartMs = Report.IncarnationStartMs;
   }
   // The worker reads its clock when it answers, so ClockMs belongs to about Now
   // however long the hold waited.
@@ -230,7 +276,7 @@
   const std::vector<RunningTask> Unwanted = Term->Table.applyReport(
       Worker->Id, Report, SentAt, Now, this->Time.wall().Ms);
   for (const EndedRun &End : Report.Ended)
-    Worker->LastAppliedEnd = std::max(Worker->LastAppliedEnd, End.Number);
+    Worker->Ends.Applied = std::max(Worker->Ends.Applied, End.Number);
   for (const RunningTask &Task : Unwanted) {
     logEvent(LogLevel::Warning, "unwanted_run",
              {{"task", Task.Task}, {"run", Task.Run}, {"worker", Worker->Id}});
