platform: a refusal with an odd reason ends no process

Seen: a peer that answers 409 with a `reason` that is no text (a number, null, an array) ended the process that called it, and the next owner after it. The address of such a peer comes from an entry of the list of workers, which other writers may write too.

Cause: decodeConflict read the field with value(), which throws on a field of another type; the exception left the coroutine of the call, and spawnCoroutine ends the process then.

Evidence: "a refusal of any form is an outcome and no exception" failed on the code without the fix in 3 of 13 rows: `CHECK_FALSE( Peer.Threw ) ... !true` for {"clock_ms":1,"reason":7}, null and ["fence"].

Fix: the reason is read only where it is a text; anything else is Invalid, like a reason that this version does not know.

Measured: platform_tests pass.

--- a/src/pistachioflow/platform/worker_client.cpp
+++ b/src/pistachioflow/platform/worker_client.cpp
@@ -36,7 +36,10 @@
 }
 
 OrderOutcome decodeConflict(const Json &Body) {
-  const std::string Reason = Body.value("reason", "");
+  const auto Field = Body.find("reason");
+  if (Field == Body.end() || !Field->is_string())
+    return OrderOutcome::Invalid;
+  const auto &Reason = Field->get_ref<const std::string &>();
   if (Reason == "fence")
     return OrderOutcome::StaleEpoch;
   if (Reason == "old")
