codec: a zero byte in a document is no end of it

Seen: a document with a zero byte and anything after it was read as if it ended there, so bytes that can't be read counted as a good entry, job or setting.

Cause: the JSON library takes a zero byte for the end of the input, and strict mode checks nothing beyond it.

Evidence: "nothing follows the end of a document, not even a zero byte" failed on the code without the fix in 3 of 8 rows ("{}\0", "{}\0 more", "{}\0{}").

Fix: parseJson rejects a text with a zero byte, which JSON never has.

Measured: codec_tests pass.

--- a/src/pistachioflow/codec/bad_inputs_test.cpp
+++ b/src/pistachioflow/codec/bad_inputs_test.cpp
@@ -87,3 +87,18 @@
     CHECK(parseJson(Text, {}, "findings").has_value());
   }
 }
+
+TEST_CASE("nothing follows the end of a document, not even a zero byte") {
+  using namespace std::string_literals;
+  const auto [Text, Valid] =
+      GENERATE(table<std::string, bool>({{"{}"s, true},
+                                         {"{} \n"s, true},
+                                         {"{}\0"s, false},
+                                         {"{}\0 more"s, false},
+                                         {"{}\0{}"s, false},
+                                         {"\0{}"s, false},
+                                         {"\0"s, false},
+                                         {""s, false}}));
+  CAPTURE(Text);
+  CHECK(parseJson(Text, BodyBounds, "body").has_value() == Valid);
+}
--- a/src/pistachioflow/codec/json_parse.cpp
+++ b/src/pistachioflow/codec/json_parse.cpp
@@ -91,6 +91,9 @@
     return invalid(Name,
                    "at most " + std::to_string(Bounds.MaxBytes) + " bytes",
                    std::to_string(Text.size()) + " bytes");
+  // The library takes a zero byte for the end and ignores what follows.
+  if (Text.find('\0') != std::string_view::npos)
+    return invalid(Name, "JSON", "a zero byte");
   StructureChecker Checker(Bounds.MaxDepth);
   const auto Check = [&Checker](int Depth, json::parse_event_t Event,
                                 json &Parsed) {
