net: an endpoint is an IPv4 address and a whole port

Seen: "10.0.0.9:80abc" was called at port 80, "::1:80" at an IPv6 address, and an address with a zero byte at whatever stood before the byte.

Cause: parseEndpoint looked at the error of from_chars but not at where it had stopped, and took every form of address that the library knows.

Evidence: "an endpoint is an IPv4 address and a whole port" failed on the code without the fix in 5 of 10 rows: `80 == 0` for "127.0.0.1:80abc", "127.0.0.1:80 ", "127.0.0.1\0x:80", "127.0.0.1:80\0" and "::1:80".

Fix: the port must reach to the end of the text, and the address is the dotted form that the settings and the list of workers use.

Measured: net_tests pass.

--- a/include/pistachioflow/net/http_client.hpp
+++ b/include/pistachioflow/net/http_client.hpp
@@ -55,7 +55,8 @@
   std::vector<std::shared_ptr<Connection>> IdleConnections;
 };
 
-/// Parses "a.b.c.d:port". Returns an endpoint with port 0 when malformed.
+/// Parses "a.b.c.d:port". Returns an endpoint with port 0 and no address when
+/// \p Text holds anything else.
 asio::ip::tcp::endpoint parseEndpoint(std::string_view Text);
 
 } // namespace pistachioflow
--- a/src/pistachioflow/net/http_client.cpp
+++ b/src/pistachioflow/net/http_client.cpp
@@ -127,14 +127,17 @@
   const auto Colon = Text.rfind(':');
   if (Colon == std::string_view::npos)
     return {};
+  const std::string_view Host = Text.substr(0, Colon);
+  // The library reads up to a zero byte only.
+  if (Host.find_first_not_of("0123456789.") != std::string_view::npos)
+    return {};
   asio::error_code Failure;
-  const auto Address =
-      asio::ip::make_address(std::string(Text.substr(0, Colon)), Failure);
+  const auto Address = asio::ip::make_address_v4(std::string(Host), Failure);
+  const std::string_view Digits = Text.substr(Colon + 1);
+  const char *End = Digits.data() + Digits.size();
   unsigned short Port = 0;
-  const auto Digits = Text.substr(Colon + 1);
-  const auto Parsed =
-      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
-  if (Failure || Parsed.ec != std::errc())
+  const auto Parsed = std::from_chars(Digits.data(), End, Port);
+  if (Failure || Parsed.ec != std::errc() || Parsed.ptr != End)
     return {};
   return {Address, Port};
 }
