platform: an odd entry names no worker

Seen: an entry of another writer with a port of 0, 65536 or, with a port and more behind it, with a host name or without a port was followed, and the owner polled its empty endpoint about every 150 ms for ever. Capacities up to 2^53 were believed, whose sums over a fleet overflow. Labels that are no texts were dropped silently, and fields that nothing reads were not looked at. In a report, a number beyond 64 bits was converted (undefined), and a count above 2^63 came out negative.

Cause: decodeWorkerEntry checked the characters of an address but not that it names an endpoint, and had one range for every count. decodeRunning converted any number.

Fix: the address has to name an IPv4 endpoint, capacities end at 2^40, each field that the platform names has its type, labels are texts. Numbers of a report are limited or make it malformed. decodeWorkerEntry returns the findings, so that a caller can say why.

--- a/include/pistachioflow/platform/worker_client.hpp
+++ b/include/pistachioflow/platform/worker_client.hpp
@@ -8,6 +8,7 @@
 #include <asio/awaitable.hpp>
 
 #include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/base/result.hpp"
 #include "pistachioflow/net/http_client.hpp"
 #include "pistachioflow/sched/worker.hpp"
 
@@ -83,9 +84,14 @@
   HttpClient Http;
 };
 
-/// Decodes a worker's entry in WorkerTopic. Returns nothing if a required field
-/// is missing or has the wrong type, or if the state is unknown.
-std::optional<WorkerEntry> decodeWorkerEntry(std::string_view Text);
+/// Whether a key in WorkerTopic can be a worker's id: 1 to 128 visible ASCII
+/// characters. The id becomes a header's value in each call to the worker.
+bool isWorkerId(std::string_view Id);
+
+/// Decodes a worker's entry in WorkerTopic. Errors: InvalidInput with a finding
+/// for each field that is missing, has the wrong type or is out of its range,
+/// for an unknown state and for an address that no worker can have.
+Result<WorkerEntry> decodeWorkerEntry(std::string_view Text);
 
 /// Decodes a worker's answer to a poll. Returns nothing if it is malformed.
 std::optional<WorkerReport> decodeWorkerReport(std::string_view Text);
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -252,7 +252,8 @@
   OwnershipTerm &Term = *this->CurrentTerm;
   std::optional<WorkerEntry> Entry;
   if (!Record.Value.empty())
-    Entry = decodeWorkerEntry(Record.Value);
+    if (Result<WorkerEntry> Decoded = decodeWorkerEntry(Record.Value))
+      Entry = std::move(Decoded.value());
   const auto Existing = Term.Workers.find(Record.Key);
   if (!Entry) {
     if (Existing != Term.Workers.end() && Existing->second->Listed) {
--- a/src/pistachioflow/platform/codecs_test.cpp
+++ b/src/pistachioflow/platform/codecs_test.cpp
@@ -58,10 +58,10 @@
                     R"({"remaining_ms":1900,)");
   const auto Entry = decodeWorkerEntry(Text);
   REQUIRE(Entry);
-  REQUIRE(Entry->Draining == Draining);
-  REQUIRE(Entry->RemainingMs == (Draining ? 1'900 : 0));
-  REQUIRE(Entry->Capacity.Accelerators == 8);
-  REQUIRE(Entry->IncarnationStartMs == 77);
+  REQUIRE(Entry.value().Draining == Draining);
+  REQUIRE(Entry.value().RemainingMs == (Draining ? 1'900 : 0));
+  REQUIRE(Entry.value().Capacity.Accelerators == 8);
+  REQUIRE(Entry.value().IncarnationStartMs == 77);
 }
 
 TEST_CASE("a report with a malformed row is rejected") {
--- a/src/pistachioflow/platform/worker_client.cpp
+++ b/src/pistachioflow/platform/worker_client.cpp
@@ -1,5 +1,6 @@
 #include "pistachioflow/platform/worker_client.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -14,6 +15,13 @@
 
 constexpr JsonBounds EntryBounds{std::size_t{1} << 16U, 8, false};
 constexpr IntegerRange NonNegative{0, std::int64_t{1} << 53U};
+/// Thousandths of a core, megabytes or accelerators of one worker. More is an
+/// error of whoever wrote it, and sums over all workers would overflow.
+constexpr IntegerRange CapacityRange{0, std::int64_t{1} << 40U};
+constexpr IntegerRange PercentRange{0, 100};
+/// Labels are the worker's kind and its rack; a few more do no harm.
+constexpr std::size_t MaxLabels = 64;
+constexpr std::size_t MaxWorkerIdBytes = 128;
 /// Required columns of a row of running tasks; the fifth, the processor time in
 /// use, is optional.
 constexpr std::size_t RunningColumns = 4;
@@ -35,6 +43,24 @@
   return RunOutcome::Unknown;
 }
 
+bool isCount(const Json &Value) {
+  if (!Value.is_number_integer())
+    return false;
+  if (Value.is_number_unsigned())
+    return Value.get<std::uint64_t>() <=
+           static_cast<std::uint64_t>(NonNegative.Max);
+  return Value.get<std::int64_t>() >= NonNegative.Min;
+}
+
+/// Rounds towards zero and limits to \p Range; a conversion of a larger number
+/// would be undefined. Precondition: \p Value is a number.
+std::int64_t readLimited(const Json &Value, IntegerRange Range) {
+  const double Number =
+      std::clamp(Value.get<double>(), static_cast<double>(Range.Min),
+                 static_cast<double>(Range.Max));
+  return static_cast<std::int64_t>(Number);
+}
+
 OrderOutcome decodeConflict(const Json &Body) {
   const auto Field = Body.find("reason");
   if (Field == Body.end() || !Field->is_string())
@@ -80,28 +106,29 @@
   OrderAnswer Answer{decodeOutcome(Call, Body)};
   if (Body.is_object())
     if (const auto Clock = Body.find("clock_ms");
-        Clock != Body.end() && Clock->is_number_integer())
+        Clock != Body.end() && isCount(*Clock))
       Answer.ClockMs = Clock->get<std::int64_t>();
   return Answer;
 }
 
 std::optional<RunningTask> decodeRunning(const Json &Row) {
   const bool WellFormed = Row.is_array() && Row.size() >= RunningColumns &&
-                          Row[0].is_string() && Row[1].is_number_integer() &&
+                          Row[0].is_string() && isCount(Row[1]) &&
                           Row[2].is_string() && Row[3].is_number();
   if (!WellFormed)
     return std::nullopt;
   RunningTask Task{Row[0].get<std::string>(), Row[1].get<std::int64_t>(),
-                   Row[2].get<std::string>(), Row[3].get<std::int64_t>()};
+                   Row[2].get<std::string>(),
+                   readLimited(Row[3], PercentRange)};
   if (Row.size() > RunningColumns && Row[4].is_number())
-    Task.CpuMilli = Row[4].get<std::int64_t>();
+    Task.CpuMilli = readLimited(Row[4], {-1, NonNegative.Max});
   return Task;
 }
 
 std::optional<EndedRun> decodeEnded(const Json &Row) {
   const bool WellFormed = Row.is_array() && Row.size() >= EndedColumns &&
-                          Row[0].is_number_integer() && Row[1].is_string() &&
-                          Row[2].is_number_integer() && Row[3].is_string() &&
+                          isCount(Row[0]) && Row[1].is_string() &&
+                          isCount(Row[2]) && Row[3].is_string() &&
                           Row[4].is_string();
   if (!WellFormed)
     return std::nullopt;
@@ -111,6 +138,47 @@
                   Row[4].get<std::string>()};
 }
 
+std::string readAddress(ObjectReader &Reader, Findings &Problems) {
+  std::string Address = Reader.text("address", TextRule::Host);
+  const asio::ip::tcp::endpoint Endpoint = parseEndpoint(Address);
+  const bool Reachable = Endpoint.port() != 0 &&
+                         !Endpoint.address().is_unspecified() &&
+                         !Endpoint.address().is_multicast();
+  if (!Reachable && Problems.empty())
+    Problems.push_back(
+        {"$.address", "an IPv4 address with a port", shortened(Address)});
+  return Address;
+}
+
+bool readDraining(ObjectReader &Reader, Findings &Problems) {
+  const std::string State = Reader.text("state", TextRule::Key);
+  if (State != "ready" && State != "draining")
+    Problems.push_back({"$.state", "ready or draining", shortened(State)});
+  return State == "draining";
+}
+
+std::vector<std::string> readLabels(const Json &Document, Findings &Problems) {
+  const auto Field =
+      Document.is_object() ? Document.find("labels") : Document.end();
+  const auto IsText = [](const Json &Label) { return Label.is_string(); };
+  const bool WellFormed = Field != Document.end() && Field->is_array() &&
+                          Field->size() <= MaxLabels &&
+                          std::ranges::all_of(*Field, IsText);
+  if (WellFormed)
+    return Field->get<std::vector<std::string>>();
+  Problems.push_back({"$.labels", "an array of texts", "something else"});
+  return {};
+}
+
+/// Fields that nothing here uses. A wrong type shows that the entry is another
+/// writer's.
+void checkUnusedFields(ObjectReader &Reader) {
+  constexpr auto Unlimited = static_cast<double>(NonNegative.Max);
+  Reader.text("version", TextRule::Free, "");
+  Reader.number("slots", 0, Unlimited, 0);
+  Reader.number("cold_remaining_ms", -Unlimited, Unlimited, 0);
+}
+
 std::string startBody(const StartOrder &Order) {
   Json Body = {{"task", Order.Task},
                {"run", Order.Run},
@@ -215,46 +283,50 @@
   co_return Answer;
 }
 
-std::optional<WorkerEntry> decodeWorkerEntry(std::string_view Text) {
-  const Result<Json> Document = parseJson(Text, EntryBounds, "worker");
-  if (!Document || !Document.value().is_object())
-    return std::nullopt;
+bool isWorkerId(std::string_view Id) {
+  constexpr char FirstVisible = '!';
+  constexpr char LastVisible = '~';
+  return !Id.empty() && Id.size() <= MaxWorkerIdBytes &&
+         std::ranges::all_of(Id, [](char Character) {
+           return Character >= FirstVisible && Character <= LastVisible;
+         });
+}
+
+Result<WorkerEntry> decodeWorkerEntry(std::string_view Text) {
+  BOOST_OUTCOME_TRY(Document, parseJson(Text, EntryBounds, "worker"));
   Findings Problems;
   WorkerEntry Entry;
-  ObjectReader Reader(Document.value(), "$", Problems);
+  ObjectReader Reader(Document, "$", Problems);
   Entry.Service = Reader.text("service", TextRule::Key);
-  Entry.Address = Reader.text("address", TextRule::Host);
+  Entry.Address = readAddress(Reader, Problems);
   Entry.FailureDomain = Reader.text("zone", TextRule::Key);
-  const std::string State = Reader.text("state", TextRule::Key);
-  Entry.Draining = State == "draining";
+  Entry.Draining = readDraining(Reader, Problems);
   Entry.RemainingMs = Reader.integer("remaining_ms", NonNegative, 0);
   ObjectReader Capacity = Reader.object("capacity");
-  Entry.Capacity.MilliCores = Capacity.integer("cpu", NonNegative);
-  Entry.Capacity.MemoryMb = Capacity.integer("memory_request_mb", NonNegative);
-  Entry.Capacity.Accelerators = Capacity.integer("gpus", NonNegative);
+  Entry.Capacity.MilliCores = Capacity.integer("cpu", CapacityRange);
+  Entry.Capacity.MemoryMb =
+      Capacity.integer("memory_request_mb", CapacityRange);
+  Entry.Capacity.Accelerators = Capacity.integer("gpus", CapacityRange);
   Entry.ClockMs = Reader.integer("clock_ms", NonNegative);
   Reader.integer("sequence", NonNegative);
   Entry.IncarnationStartMs = Reader.integer("born", NonNegative, 0);
-  const auto Labels = Document.value().find("labels");
-  if (Labels == Document.value().end() || !Labels->is_array())
-    return std::nullopt;
-  for (const Json &Label : *Labels)
-    if (Label.is_string())
-      Entry.Labels.push_back(Label.get<std::string>());
-  const bool KnownState = State == "ready" || State == "draining";
-  if (!Problems.empty() || !KnownState)
-    return std::nullopt;
+  Entry.Labels = readLabels(Document, Problems);
+  checkUnusedFields(Reader);
+  if (!Problems.empty())
+    return Error{ErrorCode::InvalidInput, "invalid entry", std::move(Problems)};
   return Entry;
 }
 
 std::optional<WorkerReport> decodeWorkerReport(std::string_view Text) {
   const Json Body = Json::parse(Text, nullptr, false);
   if (!Body.is_object() || !Body.contains("clock_ms") ||
-      !Body["clock_ms"].is_number_integer())
+      !isCount(Body["clock_ms"]))
     return std::nullopt;
   WorkerReport Report;
   Report.ClockMs = Body["clock_ms"].get<std::int64_t>();
-  if (Body.contains("born") && Body["born"].is_number_integer())
+  if (Body.contains("born") && !isCount(Body["born"]))
+    return std::nullopt;
+  if (Body.contains("born"))
     Report.IncarnationStartMs = Body["born"].get<std::int64_t>();
   if (!Body.contains("running") || !Body["running"].is_array() ||
       !Body.contains("ended_runs") || !Body["ended_runs"].is_array())
