platform: one odd key leaves a page of newest records readable

Seen: a record whose key is no UTF-8 stopped every follower of its topic. The page of `/log-newest` that names it, with raw bytes, with half of a surrogate pair or with a line break in the key, counted as a refused read, and was read again every 100 ms for ever. An owner then has no list of workers at all, and an instance that starts has no desired state if the record stands there.

Cause: the page was parsed as one strict JSON text.

Fix: a page that can't be parsed is parsed again with what JSON can't hold replaced by U+FFFD (codec/readable_json). The next page follows the last key even where its record has no value, and a page that doesn't lead on ends the load instead of repeating it.

--- a/include/pistachioflow/platform/store_client.hpp
+++ b/include/pistachioflow/platform/store_client.hpp
@@ -62,10 +62,12 @@
   std::vector<JournalRecord> Records;
 };
 
-/// One page of the newest record of each key.
+/// One page of the newest record of each key. Bytes of a key that the store
+/// can't write as text read as U+FFFD.
 struct NewestPage {
   ReadOutcome Outcome = ReadOutcome::Unreachable;
   std::vector<JournalRecord> Records;
+  std::string LastKey; ///< Also of a record without a value; pages go on here.
   std::int64_t HighestOffset = -1; ///< Among the records of this page.
   std::int64_t EndOffset = 0;
   bool HasMore = false;
--- a/src/pistachioflow/entry/topic_follower.cpp
+++ b/src/pistachioflow/entry/topic_follower.cpp
@@ -95,9 +95,10 @@
     HighestOffset = std::max(HighestOffset, Page.HighestOffset);
     for (JournalRecord &Record : Page.Records)
       Records.push_back(std::move(Record));
-    if (!Page.HasMore || Page.Records.empty())
+    const bool Advances = !Page.LastKey.empty() && Page.LastKey != AfterKey;
+    if (!Page.HasMore || !Advances)
       break;
-    AfterKey = Records.back().Key;
+    AfterKey = std::move(Page.LastKey);
   }
   if (this->Stopped)
     co_return false;
--- a/src/pistachioflow/platform/store_client.cpp
+++ b/src/pistachioflow/platform/store_client.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "pistachioflow/codec/json_reader.hpp"
+#include "pistachioflow/codec/readable_json.hpp"
 
 namespace pistachioflow {
 
@@ -163,11 +164,20 @@
   }
 }
 
+/// Parses a page. One key of another writer may hold bytes that JSON can't: the
+/// other records must be read nevertheless.
+Json parsePage(const std::string &Text) {
+  Json Page = Json::parse(Text, nullptr, false);
+  if (Page.is_discarded())
+    Page = Json::parse(readableJson(Text), nullptr, false);
+  return Page;
+}
+
 void addItem(NewestPage &Page, const Json &Item) {
-  const bool WellFormed = Item.is_object() && Item.contains("key") &&
-                          Item["key"].is_string() && Item.contains("value") &&
-                          Item["value"].is_string();
-  if (!WellFormed)
+  if (!hasField(Item, "key", Json::value_t::string))
+    return;
+  Page.LastKey = Item["key"].get<std::string>();
+  if (!hasField(Item, "value", Json::value_t::string))
     return;
   Page.Records.push_back({Item["key"].get<std::string>(),
                           decodeBase64(Item["value"].get<std::string>())});
@@ -248,7 +258,7 @@
     Page.Outcome = ReadOutcome::Read;
   if (Page.Outcome != ReadOutcome::Read)
     co_return Page;
-  const Json Body = Json::parse(Call.Response.Body, nullptr, false);
+  const Json Body = parsePage(Call.Response.Body);
   const bool NoTopic = Call.Response.Status == 404;
   const bool FlagIsValid = !Body.is_object() || !Body.contains("has_more") ||
                            Body["has_more"].is_boolean();
--- a/src/pistachioflow/platform/store_client_test.cpp
+++ b/src/pistachioflow/platform/store_client_test.cpp
@@ -1,7 +1,9 @@
 #include "pistachioflow/platform/store_client.hpp"
 
+#include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -119,4 +121,39 @@
   REQUIRE(Store.newest().Outcome == Outcome);
 }
 
+TEST_CASE("an odd record leaves the others of its page readable") {
+  const auto [Odd, Count] = GENERATE(table<std::string, std::size_t>({
+      {"{\"key\":\"w\xff\",\"value\":\"eA==\",\"offset\":3}", 3},
+      {R"({"key":"w\udcff","value":"eA==","offset":3})", 3},
+      {"{\"key\":\"w\n\",\"value\":\"eA==\",\"offset\":3}", 3},
+      {R"({"key":"w\u0000","value":"eA==","offset":3})", 3},
+      {R"({"key":"","value":"eA==","offset":3})", 3},
+      {R"({"key":"w","value":"%&","offset":-1})", 3},
+      {R"({"key":"w","value":null,"offset":3})", 2},
+      {R"({"key":"w","offset":3})", 2},
+      {R"({"key":7,"value":"eA==","offset":3})", 2},
+      {"7", 2},
+      {"[]", 2},
+  }));
+  const int Position = GENERATE(0, 1, 2);
+  CAPTURE(Odd, Position);
+  std::vector<std::string> Items{R"({"key":"a","value":"eA==","offset":1})",
+                                 R"({"key":"z","value":"eA==","offset":2})"};
+  Items.insert(Items.begin() + Position, Odd);
+  StoreFixture Store;
+  Store.Answer = {200,
+                  {},
+                  R"({"items":[)" + Items[0] + "," + Items[1] + "," + Items[2] +
+                      R"(],"has_more":false,"end_offset":4})"};
+  const NewestPage Page = Store.newest();
+  REQUIRE(Page.Outcome == ReadOutcome::Read);
+  REQUIRE(Page.Records.size() == Count);
+  REQUIRE(Page.EndOffset == 4);
+  const auto HasKey = [&Page](std::string_view Key) {
+    return std::ranges::count(Page.Records, Key, &JournalRecord::Key) == 1;
+  };
+  REQUIRE(HasKey("a"));
+  REQUIRE(HasKey("z"));
+}
+
 } // namespace pistachioflow
