entry: an odd record of the list of workers is logged once, and calls nobody

Seen: the key of a record became a header's value in each call to the worker that its value names, also with a line break, a zero byte or other bytes in it. Of records that name no worker nothing was logged unless the worker had been listed before, and then no reason.

Cause: applyWorkerEntry looked at the value only.

Evidence: tests/platform/odd_entries_test.cpp puts 66 odd values, each under keys first, in the middle and last, 8 odd keys with a good value, and an odd entry instead of worker w5's own.

Fix: a key has to be an id of visible characters (isWorkerId); a rejected record is logged as worker_entry_rejected with its key escaped and the first finding, once per key and reason, for at most 1,024 keys (RejectedEntries). When the entry is mended the worker is listed and used again.

--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -60,6 +60,8 @@
   void buildTable(OwnershipTerm &Term);
   void followWorkerList();
   void applyWorkerEntry(const JournalRecord &Record);
+  void listWorker(const std::string &Id, WorkerEntry Entry);
+  void unlistWorker(const std::string &Id, std::string_view Reason);
   void unlistWorkers();
   void runRound();
   PlanningView planningView(OwnershipTerm &Term, Instant Now) const;
--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <asio/awaitable.hpp>
@@ -23,6 +25,8 @@
   bool Unresponsive = false;  ///< Does nothing and does not answer.
   double LostAnswerShare = 0; ///< Share of appends done, but unanswered.
   Duration Delay{0};          ///< Before each answer.
+  /// Pages hold the bytes of keys as they are, also where JSON can't.
+  bool RawKeys = false;
 };
 
 /// Faults of the simulated workers; none by default.
@@ -50,6 +54,22 @@
   /// Publishes the operators' configuration.
   void publish(const std::string &DesiredStateJson);
 
+  /// Writes the entries of all workers now, as it also does periodically.
+  void publishWorkers();
+
+  /// Writes any record into the list of workers, like another writer.
+  void putWorkerRecord(JournalRecord Record);
+
+  /// Returns the entry that a worker would write now. Precondition: there is a
+  /// worker \p Id, as for workerCalls().
+  std::string workerEntry(std::string_view Id) const;
+
+  /// Returns how many calls reached a worker's address.
+  std::int64_t workerCalls(std::string_view Id) const;
+
+  /// By worker: makes what is written instead of the worker's entry.
+  std::map<std::string, std::function<std::string(std::string)>, std::less<>>
+      OddEntries;
   StoreFaults StoreBehaviour;
   WorkerFaults WorkerBehaviour;
   LogStore Store;
@@ -61,6 +81,7 @@
     std::string Rack;
     std::unique_ptr<HttpServer> Server;
     std::int64_t Heartbeats = 0;
+    std::int64_t Calls = 0;
   };
 
   asio::awaitable<HttpResponse> serveStore(HttpRequest Request);
@@ -72,7 +93,7 @@
   asio::awaitable<HttpResponse> servePoll(std::string Id, std::string Body);
   asio::awaitable<HttpResponse> serveStart(std::string Id, std::string Body);
   asio::awaitable<void> advanceLoop();
-  void publishWorkers();
+  std::string workerEntry(const WorkerEndpoint &Endpoint) const;
   bool chance(double Probability);
 
   asio::io_context &Io;
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -28,9 +28,6 @@
 /// A job that failed on this many workers, and on none ran past EarlyFailure,
 /// is at fault rather than its workers.
 constexpr std::size_t FaultyJobWorkerCount = 3;
-/// Pause between reads of the list of workers. Every heartbeat changes an
-/// entry; reading several changes at once saves calls.
-constexpr Duration WorkerListReadPause{200};
 constexpr WriteTimeouts OwnerWriteTimeouts{{3'600'000}, {3'600'000}};
 /// Workers that ran urgent work stay reserved for it this long: about the time
 /// between two urgent gangs under load. A longer reservation leaves workers
@@ -78,11 +75,6 @@
   }
 }
 
-/// Keeps \p Follower alive until its last read has ended.
-asio::awaitable<void> followTopic(std::shared_ptr<TopicFollower> Follower) {
-  co_await Follower->run();
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(asio::io_context &Io, StoreClient &Store,
@@ -107,35 +99,6 @@
   this->followWorkerList();
 }
 
-/// Reads the list of workers while the journal loads, since on a slow store
-/// each takes a while.
-void Dispatcher::followWorkerList() {
-  TopicObserver Observer;
-  const std::weak_ptr<OwnershipTerm> Weak = this->CurrentTerm;
-  Observer.Reset = [this, Weak] {
-    const TermPtr Term = Weak.lock();
-    if (!Term || !Term->Active)
-      return;
-    Term->WorkerEntries.clear();
-    this->unlistWorkers();
-  };
-  Observer.Apply = [this, Weak](const JournalRecord &Record) {
-    const TermPtr Term = Weak.lock();
-    if (!Term || !Term->Active)
-      return;
-    if (Term->Loading)
-      Term->WorkerEntries.push_back(Record);
-    else
-      this->applyWorkerEntry(Record);
-  };
-  Observer.CaughtUp = [this] { this->requestRound(); };
-  OwnershipTerm &Term = *this->CurrentTerm;
-  Term.WorkerListFollower = std::make_shared<TopicFollower>(
-      this->Io, this->Store, this->Time, std::string(WorkerTopic),
-      std::move(Observer), WorkerListReadPause);
-  spawnCoroutine(this->Io, "worker_list", followTopic(Term.WorkerListFollower));
-}
-
 void Dispatcher::end() {
   if (!this->CurrentTerm)
     return;
@@ -243,53 +206,6 @@
   this->requestRound();
 }
 
-void Dispatcher::unlistWorkers() {
-  for (auto &[Id, Worker] : this->CurrentTerm->Workers)
-    Worker->Listed = false;
-}
-
-void Dispatcher::applyWorkerEntry(const JournalRecord &Record) {
-  OwnershipTerm &Term = *this->CurrentTerm;
-  std::optional<WorkerEntry> Entry;
-  if (!Record.Value.empty())
-    if (Result<WorkerEntry> Decoded = decodeWorkerEntry(Record.Value))
-      Entry = std::move(Decoded.value());
-  const auto Existing = Term.Workers.find(Record.Key);
-  if (!Entry) {
-    if (Existing != Term.Workers.end() && Existing->second->Listed) {
-      Existing->second->Listed = false;
-      logEvent(LogLevel::Info, "worker_unlisted",
-               {{"worker", Record.Key},
-                {"reason", Record.Value.empty() ? "removed" : "malformed"}});
-    }
-    return;
-  }
-  WorkerPtr &Worker = Term.Workers[Record.Key];
-  if (!Worker)
-    Worker = std::make_shared<WorkerLink>(this->Io, Record.Key);
-  const bool NewAddress =
-      !Worker->Client || Worker->Entry.Address != Entry->Address;
-  if (NewAddress)
-    Worker->Client =
-        std::make_shared<WorkerClient>(this->Io, Record.Key, Entry->Address);
-  const bool Restarted =
-      Worker->Listed && Entry->IncarnationStartMs > 0 &&
-      Entry->IncarnationStartMs != Worker->IncarnationStartMs;
-  if (NewAddress || Restarted)
-    Worker->Synced = false;
-  if (Entry->Draining && !Worker->Entry.Draining)
-    logEvent(LogLevel::Info, "worker_draining",
-             {{"worker", Record.Key}, {"remaining_ms", Entry->RemainingMs}});
-  // The entry may be as old as the pause between two reads.
-  if (Entry->Draining && !Worker->Entry.Draining)
-    Worker->EarliestRemovalAt = this->Time.monotonic() +
-                                Duration{Entry->RemainingMs} -
-                                WorkerListReadPause;
-  Worker->Entry = std::move(*Entry);
-  Worker->Listed = true;
-  this->ensureHoldLoop(this->CurrentTerm, Worker);
-}
-
 void Dispatcher::requestRound() {
   if (this->RoundRequested || !this->CurrentTerm || this->CurrentTerm->Loading)
     return;
--- a/src/pistachioflow/entry/dispatcher_ownership_term.hpp
+++ b/src/pistachioflow/entry/dispatcher_ownership_term.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "pistachioflow/entry/dispatcher.hpp"
+#include "pistachioflow/entry/rejected_entries.hpp"
 #include "pistachioflow/entry/topic_follower.hpp"
 
 namespace pistachioflow {
@@ -37,6 +38,7 @@
   std::vector<JournalRecord> WorkerEntries;
   std::set<std::pair<std::string, std::int64_t>> PendingStops; ///< Task, run.
   std::shared_ptr<TopicFollower> WorkerListFollower;
+  RejectedEntries RejectedWorkers;
   Instant StartedAt;
 };
 
--- a/src/pistachioflow/platform_standin/platform_server.cpp
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -1,5 +1,6 @@
 #include "pistachioflow/platform_standin/platform_server.hpp"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -171,8 +172,9 @@
     WorkerEndpoint Endpoint;
     Endpoint.Id = Id;
     Endpoint.Rack = "r" + std::to_string(Index / WorkersPerRack);
-    Endpoint.Server =
-        std::make_unique<HttpServer>(this->Io, [this, Id](HttpRequest Request) {
+    Endpoint.Server = std::make_unique<HttpServer>(
+        this->Io, [this, Id, Index](HttpRequest Request) {
+          ++this->WorkerEndpoints[Index].Calls;
           return this->serveWorker(Id, std::move(Request));
         });
     if (!Endpoint.Server->listen(AnyPort))
@@ -191,29 +193,55 @@
   this->RecordsAppended.notify();
 }
 
+std::string PlatformServer::workerEntry(const WorkerEndpoint &Endpoint) const {
+  const Json Entry = {
+      {"service", "svc"},
+      {"address", "127.0.0.1:" + std::to_string(Endpoint.Server->port())},
+      {"zone", "z1"},
+      {"version", "v1"},
+      {"slots", 8},
+      {"state", "ready"},
+      {"cold_remaining_ms", 0},
+      {"capacity",
+       {{"cpu", this->Capacity.MilliCores},
+        {"memory_request_mb", this->Capacity.MemoryMb},
+        {"gpus", this->Capacity.Accelerators}}},
+      {"labels", Json::array({"a", Endpoint.Rack})},
+      {"clock_ms", this->Time.monotonic().Ms},
+      {"born", this->Simulator.incarnationStartMs(Endpoint.Id)},
+      {"sequence", Endpoint.Heartbeats}};
+  return dumpJson(Entry);
+}
+
 void PlatformServer::publishWorkers() {
   for (WorkerEndpoint &Endpoint : this->WorkerEndpoints) {
-    const Json Entry = {
-        {"service", "svc"},
-        {"address", "127.0.0.1:" + std::to_string(Endpoint.Server->port())},
-        {"zone", "z1"},
-        {"version", "v1"},
-        {"slots", 8},
-        {"state", "ready"},
-        {"cold_remaining_ms", 0},
-        {"capacity",
-         {{"cpu", this->Capacity.MilliCores},
-          {"memory_request_mb", this->Capacity.MemoryMb},
-          {"gpus", this->Capacity.Accelerators}}},
-        {"labels", Json::array({"a", Endpoint.Rack})},
-        {"clock_ms", this->Time.monotonic().Ms},
-        {"born", this->Simulator.incarnationStartMs(Endpoint.Id)},
-        {"sequence", ++Endpoint.Heartbeats}};
-    this->Store.put(std::string(WorkerTopic), {Endpoint.Id, dumpJson(Entry)});
+    ++Endpoint.Heartbeats;
+    std::string Entry = this->workerEntry(Endpoint);
+    if (const auto Odd = this->OddEntries.find(Endpoint.Id);
+        Odd != this->OddEntries.end())
+      Entry = Odd->second(Entry);
+    this->Store.put(std::string(WorkerTopic), {Endpoint.Id, std::move(Entry)});
   }
   this->RecordsAppended.notify();
 }
 
+void PlatformServer::putWorkerRecord(JournalRecord Record) {
+  this->Store.put(std::string(WorkerTopic), std::move(Record));
+  this->RecordsAppended.notify();
+}
+
+std::string PlatformServer::workerEntry(std::string_view Id) const {
+  const auto Endpoint =
+      std::ranges::find(this->WorkerEndpoints, Id, &WorkerEndpoint::Id);
+  return this->workerEntry(*Endpoint);
+}
+
+std::int64_t PlatformServer::workerCalls(std::string_view Id) const {
+  const auto Endpoint =
+      std::ranges::find(this->WorkerEndpoints, Id, &WorkerEndpoint::Id);
+  return Endpoint->Calls;
+}
+
 asio::awaitable<void> PlatformServer::advanceLoop() {
   Instant PublishedAt = this->Time.monotonic();
   while (true) {
@@ -293,14 +321,22 @@
   const std::string Topic = queryValue(Query, "topic");
   const auto Page =
       this->Store.newest(Topic, queryValue(Query, "after"), PageSize);
-  Json Items = Json::array();
-  for (const LogStore::StoredRecord &Entry : Page)
-    Items.push_back({{"key", Entry.Record.Key},
-                     {"value", encodeBase64(Entry.Record.Value)},
-                     {"offset", Entry.Offset}});
-  return json(200, {{"items", Items},
-                    {"has_more", Page.size() == PageSize},
-                    {"end_offset", this->Store.endOffset(Topic)}});
+  std::string Items;
+  for (const LogStore::StoredRecord &Entry : Page) {
+    const std::string &Key = Entry.Record.Key;
+    Items += Items.empty() ? "" : ",";
+    Items += R"({"key":)";
+    Items += this->StoreBehaviour.RawKeys ? "\"" + Key + "\"" : dumpJson(Key);
+    Items += R"(,"value":")" + encodeBase64(Entry.Record.Value);
+    Items += R"(","offset":)" + std::to_string(Entry.Offset) + "}";
+  }
+  HttpResponse Response;
+  Response.Status = 200;
+  Response.Body = R"({"items":[)" + Items + R"(],"has_more":)";
+  Response.Body += Page.size() == PageSize ? "true" : "false";
+  Response.Body += R"(,"end_offset":)";
+  Response.Body += std::to_string(this->Store.endOffset(Topic)) + "}";
+  return Response;
 }
 
 asio::awaitable<HttpResponse> PlatformServer::serveWorker(std::string Id,
