--- a/src/pistachioflow/platform_standin/platform_server.cpp
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -114,8 +114,9 @@
     WorkerEndpoint Endpoint;
     Endpoint.Id = Id;
     Endpoint.Rack = "r" + std::to_string(Index / WorkersPerRack);
-    Endpoint.Server =
-        std::make_unique<HttpServer>(this->Io, [this, Id](HttpRequest Request) {
+    Endpoint.Server = std::make_unique<HttpServer>(
+        this->Io, [this, Id, Index](HttpRequest Request) {
+          ++this->WorkerEndpoints[Index].Calls;
           return this->serveWorker(Id, std::move(Request));
         });
     if (!Endpoint.Server->listen(AnyPort))
@@ -216,14 +217,22 @@
   const std::string Topic = queryValue(Query, "topic");
   const auto Page =
       this->Store.newest(Topic, queryValue(Query, "after"), PageSize);
-  Json Items = Json::array();
-  for (const LogStore::StoredRecord &Entry : Page)
-    Items.push_back({{"key", Entry.Record.Key},
-                     {"value", encodeBase64(Entry.Record.Value)},
-                     {"offset", Entry.Offset}});
-  return jsonResponse(200, {{"items", Items},
-                            {"has_more", Page.size() == PageSize},
-                            {"end_offset", this->Store.endOffset(Topic)}});
+  std::string Items;
+  for (const LogStore::StoredRecord &Entry : Page) {
+    const std::string &Key = Entry.Record.Key;
+    Items += Items.empty() ? "" : ",";
+    Items += R"({"key":)";
+    Items += this->StoreBehaviour.RawKeys ? "\"" + Key + "\"" : dumpJson(Key);
+    Items += R"(,"value":")" + encodeBase64(Entry.Record.Value);
+    Items += R"(","offset":)" + std::to_string(Entry.Offset) + "}";
+  }
+  HttpResponse Response;
+  Response.Status = 200;
+  Response.Body = R"({"items":[)" + Items + R"(],"has_more":)";
+  Response.Body += Page.size() == PageSize ? "true" : "false";
+  Response.Body += R"(,"end_offset":)";
+  Response.Body += std::to_string(this->Store.endOffset(Topic)) + "}";
+  return Response;
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/platform_standin/platform_server_workers.cpp
+++ b/src/pistachioflow/platform_standin/platform_server_workers.cpp
@@ -1,5 +1,6 @@
 // The workers of the simulated platform: their entries and their answers.
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -76,7 +77,7 @@
   this->RecordsAppended.notify();
 }
 
-void PlatformServer::publishWorker(WorkerEndpoint &Endpoint) {
+std::string PlatformServer::workerEntry(const WorkerEndpoint &Endpoint) const {
   const Resources Capacity = this->Simulator.capacity(Endpoint.Id);
   const Json Entry = {
       {"service", "svc"},
@@ -93,11 +94,37 @@
       {"labels", Json::array({"a", Endpoint.Rack})},
       {"clock_ms", this->Time.monotonic().Ms},
       {"born", this->Simulator.incarnationStartMs(Endpoint.Id)},
-      {"sequence", ++Endpoint.Heartbeats}};
-  this->Store.put(std::string(WorkerTopic), {Endpoint.Id, dumpJson(Entry)});
+      {"sequence", Endpoint.Heartbeats}};
+  return dumpJson(Entry);
+}
+
+void PlatformServer::publishWorker(WorkerEndpoint &Endpoint) {
+  ++Endpoint.Heartbeats;
+  std::string Entry = this->workerEntry(Endpoint);
+  if (const auto Odd = this->OddEntries.find(Endpoint.Id);
+      Odd != this->OddEntries.end())
+    Entry = Odd->second(Entry);
+  this->Store.put(std::string(WorkerTopic), {Endpoint.Id, std::move(Entry)});
   Endpoint.Listed = true;
 }
 
+void PlatformServer::putWorkerRecord(JournalRecord Record) {
+  this->Store.put(std::string(WorkerTopic), std::move(Record));
+  this->RecordsAppended.notify();
+}
+
+std::string PlatformServer::workerEntry(std::string_view Id) const {
+  const auto Endpoint =
+      std::ranges::find(this->WorkerEndpoints, Id, &WorkerEndpoint::Id);
+  return this->workerEntry(*Endpoint);
+}
+
+std::int64_t PlatformServer::workerCalls(std::string_view Id) const {
+  const auto Endpoint =
+      std::ranges::find(this->WorkerEndpoints, Id, &WorkerEndpoint::Id);
+  return Endpoint->Calls;
+}
+
 /// Removes the entry of a worker that is down once its heartbeats are overdue.
 void PlatformServer::expireEntry(WorkerEndpoint &Endpoint) {
   const Duration Silent =
