--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -12,6 +12,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/entry/journal_state.hpp"
 #include "pistachioflow/entry/journal_writer.hpp"
 #include "pistachioflow/entry/planning.hpp"
 #include "pistachioflow/entry/topic_follower.hpp"
@@ -44,9 +45,9 @@
 
   /// \name Events of the follower of the journal
   /// @{
-  void journalReset();
+  /// Takes the whole journal. A term that has begun starts to work with it.
+  void journalLoaded(const TopicRecords &Journal);
   void apply(const JournalRecord &Record);
-  void journalCaughtUp();
   /// @}
 
   /// Schedules a scheduling round shortly. Calls before it starts share it.
@@ -57,7 +58,9 @@
   using TermPtr = std::shared_ptr<OwnershipTerm>;
   using WorkerPtr = std::shared_ptr<WorkerLink>;
 
-  void buildTable(OwnershipTerm &Term);
+  JournalTimes journalTimes() const;
+  void startWork(const TopicRecords &Journal);
+  void adoptWorkers();
   void followWorkerList();
   void applyWorkerEntry(const JournalRecord &Record);
   void unlistWorkers();
--- a/include/pistachioflow/entry/topic_follower.hpp
+++ b/include/pistachioflow/entry/topic_follower.hpp
@@ -1,29 +1,22 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <string>
+#include <string_view>
 
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/entry/coroutines.hpp"
+#include "pistachioflow/entry/topic_fold.hpp"
 #include "pistachioflow/platform/store_client.hpp"
 
 namespace pistachioflow {
 
-/// Callbacks of a follower.
-struct TopicObserver {
-  std::function<void()> Reset; ///< Discard all that was applied before.
-  std::function<void(const JournalRecord &)> Apply;
-  std::function<void()> CaughtUp; ///< Everything up to the end was applied.
-  std::function<void()> ReadFailed = [] {}; ///< After each failed read.
-};
-
 /// Follows one keyed topic: reads the newest record of each key, then each
 /// record as it is appended. Starts again with the newest ones when the store
-/// no longer has the next record.
+/// no longer has the next record. TopicFold decides what the observer gets.
 ///
 /// Thread safety: none; use from the thread that runs the io_context.
 class TopicFollower {
@@ -40,16 +33,16 @@
   void stop();
 
   /// Starts again with the newest record of each key.
-  void reload();
+  void reload() { this->Fold.reload(); }
 
   void setReadPause(Duration Pause) { this->ReadPause = Pause; }
 
   /// Whether all that the topic held at the last contact has been applied.
-  bool caughtUp() const { return this->IsCaughtUp; }
+  bool caughtUp() const { return this->Fold.caughtUp(); }
   /// When the store last answered a read.
   Instant lastContact() const { return this->LastContact; }
   /// Offset of the next record.
-  std::int64_t position() const { return this->NextOffset; }
+  std::int64_t position() const { return this->Fold.nextOffset(); }
 
   /// Asks the store for the end of the topic and waits until all records before
   /// it are applied, or up to \p Timeout. Returns whether they are: then every
@@ -62,28 +55,24 @@
   asio::awaitable<void> catchUp(Duration Timeout);
 
 private:
-  asio::awaitable<bool> load();
-  asio::awaitable<void> readOnce();
-  void noteReadFailure(std::string_view Reason);
+  TopicObserver foldObserver();
+  asio::awaitable<bool> readPage();
+  asio::awaitable<bool> readRecords();
+  asio::awaitable<void> noteReadFailure(std::string_view Reason);
   void noteAnswer();
-  void markCaughtUp();
 
   asio::io_context &Io;
   StoreClient &Store;
   const Clock &Time;
   std::string Topic;
   TopicObserver Observer;
+  TopicFold Fold;
   Duration ReadPause;
   Signal Applied;
   Signal Wake;
   bool Pausing = false;
   bool SkipReadWait = false; ///< The next read doesn't wait for new records.
-  std::int64_t NextOffset = 0;
-  /// Records before this may be older than the loaded ones of their keys.
-  std::int64_t LoadedUpTo = 0;
   Instant LastContact;
-  bool Loaded = false;
-  bool IsCaughtUp = false;
   bool Stopped = false;
   Instant FailingSince;
 };
--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -23,6 +23,7 @@
   bool Unresponsive = false;  ///< Does nothing and does not answer.
   double LostAnswerShare = 0; ///< Share of appends done, but unanswered.
   Duration Delay{0};          ///< Before each answer.
+  bool WatchesSilent = false; ///< Reads that wait get no records.
 };
 
 /// Faults of the simulated workers; none by default.
@@ -50,6 +51,10 @@
   /// Publishes the operators' configuration.
   void publish(const std::string &DesiredStateJson);
 
+  /// Drops every record of the journal but the newest of each key, and ends the
+  /// silence of watches.
+  void forgetHistory();
+
   StoreFaults StoreBehaviour;
   WorkerFaults WorkerBehaviour;
   LogStore Store;
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -112,14 +112,7 @@
 void Dispatcher::followWorkerList() {
   TopicObserver Observer;
   const std::weak_ptr<OwnershipTerm> Weak = this->CurrentTerm;
-  Observer.Reset = [this, Weak] {
-    const TermPtr Term = Weak.lock();
-    if (!Term || !Term->Active)
-      return;
-    Term->WorkerEntries.clear();
-    this->unlistWorkers();
-  };
-  Observer.Apply = [this, Weak](const JournalRecord &Record) {
+  const auto Apply = [this, Weak](const JournalRecord &Record) {
     const TermPtr Term = Weak.lock();
     if (!Term || !Term->Active)
       return;
@@ -128,6 +121,16 @@
     else
       this->applyWorkerEntry(Record);
   };
+  Observer.Replace = [this, Weak, Apply](const TopicRecords &Entries) {
+    const TermPtr Term = Weak.lock();
+    if (!Term || !Term->Active)
+      return;
+    Term->WorkerEntries.clear();
+    this->unlistWorkers();
+    for (const JournalRecord &Entry : Entries)
+      Apply(Entry);
+  };
+  Observer.Apply = Apply;
   Observer.CaughtUp = [this] { this->requestRound(); };
   OwnershipTerm &Term = *this->CurrentTerm;
   Term.WorkerListFollower = std::make_shared<TopicFollower>(
@@ -145,104 +148,6 @@
   this->CurrentTerm.reset();
 }
 
-void Dispatcher::journalReset() {
-  if (this->CurrentTerm && this->CurrentTerm->Loading)
-    this->CurrentTerm->JournalValues.clear();
-}
-
-void Dispatcher::apply(const JournalRecord &Record) {
-  if (!this->CurrentTerm)
-    return;
-  OwnershipTerm &Term = *this->CurrentTerm;
-  if (Term.Loading) {
-    if (Record.Value.empty())
-      Term.JournalValues.erase(Record.Key);
-    else
-      Term.JournalValues[Record.Key] = Record.Value;
-    return;
-  }
-  constexpr std::size_t PrefixSize = 2;
-  if (Record.Key.size() <= PrefixSize || Record.Value.empty())
-    return;
-  const std::string_view Id = std::string_view(Record.Key).substr(PrefixSize);
-  const Instant Now = this->Time.monotonic();
-  const std::int64_t WallMs = this->Time.wall().Ms;
-  const auto Kind = static_cast<RecordKind>(Record.Key.front());
-  if (Kind == RecordKind::Submission) {
-    if (auto Decoded = decodeRecord<SubmissionRecord>(Record.Value))
-      Term.Table.addSubmission(Id, std::move(*Decoded), Now, WallMs);
-    this->requestRound();
-  }
-  if (Kind == RecordKind::Cancellation) {
-    Term.Table.addCancellation(Id, WallMs, Now);
-    this->requestRound();
-  }
-}
-
-void Dispatcher::buildTable(OwnershipTerm &Term) {
-  constexpr std::size_t PrefixSize = 2;
-  // Records of later kinds refer to those of earlier ones.
-  constexpr std::array Order{RecordKind::Submission, RecordKind::JobPhase,
-                             RecordKind::Unit, RecordKind::Cancellation};
-  const Instant Now = this->Time.monotonic();
-  const std::int64_t WallMs = this->Time.wall().Ms;
-  for (const RecordKind Kind : Order) {
-    const std::string Prefix{static_cast<char>(Kind), '/'};
-    for (auto Entry = Term.JournalValues.lower_bound(Prefix);
-         Entry != Term.JournalValues.end() && Entry->first.starts_with(Prefix);
-         ++Entry) {
-      const auto Name = std::string_view(Entry->first).substr(PrefixSize);
-      const std::string &Value = Entry->second;
-      if (Kind == RecordKind::Submission) {
-        if (auto Decoded = decodeRecord<SubmissionRecord>(Value))
-          Term.Table.addSubmission(Name, std::move(*Decoded), Now, WallMs);
-      } else if (Kind == RecordKind::JobPhase) {
-        if (const auto Decoded = decodeRecord<JobPhaseRecord>(Value))
-          Term.Table.restorePhase(Name, *Decoded);
-      } else if (Kind == RecordKind::Unit) {
-        if (const auto Decoded = decodeRecord<UnitRecord>(Value))
-          Term.Table.restoreUnit(Name, *Decoded,
-                                 Now + maxLocalLease(this->Settings.MaxLease),
-                                 Now);
-      } else {
-        Term.Table.addCancellation(Name, WallMs, Now);
-      }
-    }
-  }
-  entryMetrics().StateLoadMs.record(
-      static_cast<double>((Now - Term.StartedAt).Ms));
-  logEvent(LogLevel::Info, "state_loaded",
-           {{"epoch", Term.Epoch},
-            {"records", static_cast<std::int64_t>(Term.JournalValues.size())},
-            {"jobs", static_cast<std::int64_t>(Term.Table.jobs().size())},
-            {"ms", (Now - Term.StartedAt).Ms}});
-  Term.JournalValues.clear();
-}
-
-void Dispatcher::journalCaughtUp() {
-  if (!this->CurrentTerm || !this->CurrentTerm->Loading)
-    return;
-  OwnershipTerm &Term = *this->CurrentTerm;
-  Term.Loading = false;
-  this->buildTable(Term);
-  // Runs that an earlier owner started may be on workers that are no longer
-  // listed.
-  const Instant LeaseEnds =
-      this->Time.monotonic() + maxLocalLease(this->Settings.MaxLease);
-  for (const Unit *Entry : Term.Table.active())
-    for (const Member &PlacedMember : Entry->Members) {
-      WorkerPtr &Worker = Term.Workers[PlacedMember.Worker];
-      if (!Worker)
-        Worker = std::make_shared<WorkerLink>(this->Io, PlacedMember.Worker);
-      Worker->LeaseEnds = LeaseEnds;
-      Worker->UnresponsiveSince = this->Time.monotonic();
-    }
-  for (const JournalRecord &Entry : std::exchange(Term.WorkerEntries, {}))
-    this->applyWorkerEntry(Entry);
-  spawnCoroutine(this->Io, "periodic", this->periodicLoop(this->CurrentTerm));
-  this->requestRound();
-}
-
 void Dispatcher::unlistWorkers() {
   for (auto &[Id, Worker] : this->CurrentTerm->Workers)
     Worker->Listed = false;
--- a/src/pistachioflow/entry/dispatcher_ownership_term.hpp
+++ b/src/pistachioflow/entry/dispatcher_ownership_term.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -32,7 +31,6 @@
   std::shared_ptr<JournalWriter> Writer;
   JobTable Table;
   WorkerLinks Workers;
-  std::map<std::string, std::string> JournalValues; ///< By key; while loading.
   /// Entries of the list of workers, in order; while loading.
   std::vector<JournalRecord> WorkerEntries;
   std::set<std::pair<std::string, std::int64_t>> PendingStops; ///< Task, run.
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -43,7 +43,10 @@
   asio::awaitable<HttpResponse> metrics(HttpRequest Request) const;
   asio::awaitable<void> drainAndStop();
   void applyDesired(const JournalRecord &Record);
+  void replaceJournal(const TopicRecords &Records);
   void applyJournal(const JournalRecord &Record);
+  void applyStatus(const JournalRecord &Record);
+  void applyOwnership(const JournalRecord &Record);
   bool journalReadable() const;
 
   asio::io_context &Io;
@@ -75,19 +78,20 @@
       Store(Io, this->Settings.StoreAddress),
       OperatorFollower(
           Io, Store, Time, std::string(OperatorTopic),
-          {[] {},
+          {[this](const TopicRecords &Records) {
+             for (const JournalRecord &Record : Records)
+               this->applyDesired(Record);
+           },
            [this](const JournalRecord &Record) { this->applyDesired(Record); },
            [] {}},
           {0}),
       Journal(
           Io, Store, Time, std::string(JournalTopic),
-          {[this] {
-             this->JobStatuses.clear();
-             this->QueueDispatcher.journalReset();
+          {[this](const TopicRecords &Records) {
+             this->replaceJournal(Records);
            },
            [this](const JournalRecord &Record) { this->applyJournal(Record); },
-           [this] { this->QueueDispatcher.journalCaughtUp(); },
-           [this] { this->Writer->checkStore(); }},
+           [] {}, [this] { this->Writer->checkStore(); }},
           FollowerReadPause),
       Writer(std::make_shared<JournalWriter>(
           Io, Store, Time, this->Name, 1, 0,
@@ -176,13 +180,31 @@
   this->QueueDispatcher.requestRound();
 }
 
+void Instance::Components::replaceJournal(const TopicRecords &Records) {
+  this->JobStatuses.clear();
+  for (const JournalRecord &Record : Records)
+    this->applyStatus(Record);
+  this->QueueDispatcher.journalLoaded(Records);
+  // Comes last: with our claim a term begins, which loads the journal again.
+  const auto Ownership = Records.find(ownershipKey());
+  if (Ownership != Records.end())
+    this->applyOwnership(*Ownership);
+}
+
 void Instance::Components::applyJournal(const JournalRecord &Record) {
+  this->applyStatus(Record);
+  this->QueueDispatcher.apply(Record);
+  if (Record.Key == ownershipKey())
+    this->applyOwnership(Record);
+}
+
+void Instance::Components::applyStatus(const JournalRecord &Record) {
   if (!this->JobStatuses.apply(Record))
     logEvent(LogLevel::Warning, "journal_record_invalid",
              {{"key", Record.Key}});
-  this->QueueDispatcher.apply(Record);
-  if (Record.Key != ownershipKey())
-    return;
+}
+
+void Instance::Components::applyOwnership(const JournalRecord &Record) {
   if (const auto Decoded = decodeRecord<OwnershipRecord>(Record.Value))
     this->QueueOwnership.apply(*Decoded);
 }
--- a/src/pistachioflow/entry/topic_follower.cpp
+++ b/src/pistachioflow/entry/topic_follower.cpp
@@ -1,6 +1,5 @@
 #include "pistachioflow/entry/topic_follower.hpp"
 
-#include <algorithm>
 #include <utility>
 
 #include "pistachioflow/base/log.hpp"
@@ -24,24 +23,42 @@
                              const Clock &Time, std::string Topic,
                              TopicObserver Observer, Duration Pause)
     : Io(Io), Store(Store), Time(Time), Topic(std::move(Topic)),
-      Observer(std::move(Observer)), ReadPause(Pause), Applied(Io), Wake(Io) {}
-
-void TopicFollower::stop() { this->Stopped = true; }
+      Observer(std::move(Observer)), Fold(this->foldObserver()),
+      ReadPause(Pause), Applied(Io), Wake(Io) {}
+
+TopicObserver TopicFollower::foldObserver() {
+  TopicObserver FoldObserver;
+  FoldObserver.Replace = [this](TopicRecords Records) {
+    logEvent(LogLevel::Info, "topic_loaded",
+             {{"topic", this->Topic},
+              {"records", static_cast<std::int64_t>(Records.size())},
+              {"offset", this->Fold.nextOffset()}});
+    this->Observer.Replace(std::move(Records));
+  };
+  FoldObserver.Apply = [this](const JournalRecord &Record) {
+    this->Observer.Apply(Record);
+  };
+  FoldObserver.CaughtUp = [this] {
+    this->Applied.notify();
+    this->Observer.CaughtUp();
+  };
+  return FoldObserver;
+}
 
-void TopicFollower::reload() {
-  this->Loaded = false;
-  this->IsCaughtUp = false;
+void TopicFollower::stop() {
+  this->Stopped = true;
+  this->Fold.stop();
 }
 
 asio::awaitable<bool> TopicFollower::refresh(Duration Timeout) {
   const Instant StartedAt = this->Time.monotonic();
-  if (!this->Loaded)
+  if (!this->Fold.loaded())
     co_return false;
   const ReadAnswer Answer = co_await this->Store.read(
-      this->Topic, this->NextOffset, Duration{0}, Timeout);
+      this->Topic, this->Fold.nextOffset(), Duration{0}, Timeout);
   if (Answer.Outcome != ReadOutcome::Read)
     co_return false;
-  while (!this->Loaded || this->NextOffset < Answer.EndOffset) {
+  while (!this->Fold.loaded() || this->Fold.nextOffset() < Answer.EndOffset) {
     const Duration Remaining = Timeout - (this->Time.monotonic() - StartedAt);
     if (Remaining.Ms <= 0)
       co_return false;
@@ -53,12 +70,14 @@
 
 asio::awaitable<void> TopicFollower::run() {
   while (!this->Stopped) {
-    bool Loaded = this->Loaded;
-    if (!Loaded)
-      Loaded = co_await this->load();
-    if (Loaded)
-      co_await this->readOnce();
-    if (this->Stopped || this->ReadPause.Ms <= 0)
+    const bool Following = this->Fold.loaded();
+    bool Answered = false;
+    if (this->Fold.needsPage())
+      Answered = co_await this->readPage();
+    else
+      Answered = co_await this->readRecords();
+    const bool InLoad = !Following || !this->Fold.loaded();
+    if (this->Stopped || this->ReadPause.Ms <= 0 || (Answered && InLoad))
       continue;
     this->Pausing = true;
     co_await this->Wake.wait(this->ReadPause);
@@ -74,86 +93,49 @@
   co_await this->Applied.wait(Timeout);
 }
 
-asio::awaitable<bool> TopicFollower::load() {
-  std::vector<JournalRecord> Records;
-  std::string AfterKey;
-  std::int64_t FirstEndOffset = -1;
-  std::int64_t HighestOffset = -1;
-  while (true) {
-    NewestPage Page =
-        co_await this->Store.newest(this->Topic, AfterKey, LoadTimeout);
-    if (Page.Outcome != ReadOutcome::Read) {
-      this->noteReadFailure("newest");
-      co_await pauseFor(this->Io, RetryDelay);
-      co_return false;
-    }
-    this->noteAnswer();
-    // The pages are read one after the other and are no snapshot. Reading on
-    // from the end that the first page reported covers changes in between.
-    if (FirstEndOffset < 0)
-      FirstEndOffset = Page.EndOffset;
-    HighestOffset = std::max(HighestOffset, Page.HighestOffset);
-    for (JournalRecord &Record : Page.Records)
-      Records.push_back(std::move(Record));
-    if (!Page.HasMore || Page.Records.empty())
-      break;
-    AfterKey = Records.back().Key;
-  }
-  if (this->Stopped)
+asio::awaitable<bool> TopicFollower::readPage() {
+  NewestPage Page = co_await this->Store.newest(
+      this->Topic, this->Fold.afterKey(), LoadTimeout);
+  if (Page.Outcome != ReadOutcome::Read) {
+    co_await this->noteReadFailure("newest");
     co_return false;
-  this->Loaded = true;
-  this->NextOffset = FirstEndOffset;
-  this->LoadedUpTo = std::max(FirstEndOffset, HighestOffset + 1);
-  this->Observer.Reset();
-  for (const JournalRecord &Record : Records)
-    this->Observer.Apply(Record);
-  logEvent(LogLevel::Info, "topic_loaded",
-           {{"topic", this->Topic},
-            {"records", static_cast<std::int64_t>(Records.size())},
-            {"offset", FirstEndOffset}});
-  if (this->NextOffset >= this->LoadedUpTo)
-    this->markCaughtUp();
+  }
+  this->noteAnswer();
+  if (!this->Stopped)
+    this->Fold.addPage(std::move(Page));
   co_return true;
 }
 
-asio::awaitable<void> TopicFollower::readOnce() {
-  const bool Behind = this->NextOffset < this->LoadedUpTo;
+asio::awaitable<bool> TopicFollower::readRecords() {
+  const bool InLoad = !this->Fold.loaded();
   // A read that hangs when an outage ends delays the next one by its timeout.
   const bool Failing = this->FailingSince.Ms != 0;
-  const bool SkipWait = Behind || this->SkipReadWait || Failing;
+  const bool SkipWait = InLoad || this->SkipReadWait || Failing;
   const Duration Wait = SkipWait ? Duration{0} : ReadWait;
-  const ReadAnswer Answer = co_await this->Store.read(
-      this->Topic, this->NextOffset, Wait, Wait + ReadAnswerTime);
+  ReadAnswer Answer = co_await this->Store.read(
+      this->Topic, this->Fold.nextOffset(), Wait, Wait + ReadAnswerTime);
   this->SkipReadWait = false;
   entryMetrics().Reads.add();
-  if (!this->Loaded || this->Stopped)
-    co_return;
+  if (this->Stopped)
+    co_return true;
   if (Answer.Outcome == ReadOutcome::Expired) {
     this->noteAnswer();
     logEvent(LogLevel::Info, "topic_expired",
-             {{"topic", this->Topic}, {"offset", this->NextOffset}});
-    this->reload();
-    co_return;
+             {{"topic", this->Topic}, {"offset", this->Fold.nextOffset()}});
+    this->Fold.reload();
+    co_return true;
   }
   if (Answer.Outcome != ReadOutcome::Read) {
-    this->noteReadFailure(
+    co_await this->noteReadFailure(
         Answer.Outcome == ReadOutcome::Refused ? "refused" : "unreachable");
-    co_await pauseFor(this->Io, RetryDelay);
-    co_return;
+    co_return false;
   }
   this->noteAnswer();
-  for (const JournalRecord &Record : Answer.Records) {
-    this->Observer.Apply(Record);
-    if (!this->Loaded || this->Stopped)
-      co_return;
-  }
-  this->NextOffset += static_cast<std::int64_t>(Answer.Records.size());
-  if (this->NextOffset >= Answer.EndOffset &&
-      this->NextOffset >= this->LoadedUpTo)
-    this->markCaughtUp();
+  this->Fold.addRecords(std::move(Answer));
+  co_return true;
 }
 
-void TopicFollower::noteReadFailure(std::string_view Reason) {
+asio::awaitable<void> TopicFollower::noteReadFailure(std::string_view Reason) {
   entryMetrics().ReadsFailed.add();
   if (this->FailingSince.Ms == 0) {
     this->FailingSince = this->Time.monotonic();
@@ -161,6 +143,7 @@
              {{"topic", this->Topic}, {"reason", Reason}});
   }
   this->Observer.ReadFailed();
+  co_await pauseFor(this->Io, RetryDelay);
 }
 
 void TopicFollower::noteAnswer() {
@@ -169,15 +152,9 @@
     return;
   logEvent(LogLevel::Info, "store_regained",
            {{"topic", this->Topic},
-            {"offset", this->NextOffset},
+            {"offset", this->Fold.nextOffset()},
             {"ms", (this->LastContact - this->FailingSince).Ms}});
   this->FailingSince = {};
 }
 
-void TopicFollower::markCaughtUp() {
-  this->IsCaughtUp = true;
-  this->Applied.notify();
-  this->Observer.CaughtUp();
-}
-
 } // namespace pistachioflow
--- a/src/pistachioflow/platform_standin/platform_server.cpp
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -191,6 +191,12 @@
   this->RecordsAppended.notify();
 }
 
+void PlatformServer::forgetHistory() {
+  this->Store.compact(std::string(JournalTopic));
+  this->StoreBehaviour.WatchesSilent = false;
+  this->RecordsAppended.notify();
+}
+
 void PlatformServer::publishWorkers() {
   for (WorkerEndpoint &Endpoint : this->WorkerEndpoints) {
     const Json Entry = {
@@ -273,7 +279,10 @@
   const std::int64_t From = queryNumber(Query, "from");
   const Duration Wait{queryNumber(Query, "wait_ms")};
   const Instant StartedAt = this->Time.monotonic();
-  while (From >= this->Store.endOffset(Topic)) {
+  const auto Silent = [this, Wait] {
+    return this->StoreBehaviour.WatchesSilent && Wait.Ms > 0;
+  };
+  while (Silent() || From >= this->Store.endOffset(Topic)) {
     const Duration Remaining = Wait - (this->Time.monotonic() - StartedAt);
     if (Remaining.Ms <= 0)
       break;
@@ -281,11 +290,15 @@
   }
   if (From < this->Store.firstOffset(Topic))
     co_return json(410, {{"first_offset", this->Store.firstOffset(Topic)}});
+  // A silent watch shows the topic as if nothing had been appended.
+  const std::int64_t End = Silent() ? From : this->Store.endOffset(Topic);
+  std::vector<JournalRecord> Records;
+  if (!Silent())
+    Records = this->Store.read(Topic, From);
   HttpResponse Response;
   Response.Status = 200;
-  Response.Body = bigEndian(this->Store.endOffset(Topic)) +
-                  bigEndian(this->Store.firstOffset(Topic)) +
-                  encodeRecords(this->Store.read(Topic, From));
+  Response.Body = bigEndian(End) + bigEndian(this->Store.firstOffset(Topic)) +
+                  encodeRecords(Records);
   co_return Response;
 }
 
--- a/tests/platform/store_outage_test.cpp
+++ b/tests/platform/store_outage_test.cpp
@@ -42,8 +42,8 @@
         this->Io, *this->Store, this->Time, "writer", 1, 0, 65'536);
     this->Follower = std::make_unique<TopicFollower>(
         this->Io, *this->Store, this->Time, std::string(JournalTopic),
-        TopicObserver{[] {}, [](const JournalRecord &) {}, [] {},
-                      [this] { this->Writer->checkStore(); }},
+        TopicObserver{[](const TopicRecords &) {}, [](const JournalRecord &) {},
+                      [] {}, [this] { this->Writer->checkStore(); }},
         Duration{0});
   }
 
