--- a/include/pistachioflow/entry/journal_state.hpp
+++ b/include/pistachioflow/entry/journal_state.hpp
@@ -23,6 +23,15 @@
 void restoreTable(JobTable &Table, const TopicRecords &Journal,
                   const JournalTimes &Times);
 
+/// Adds to the table of a running owner what callers appended to the journal,
+/// after it was loaded again.
+///
+/// Jobs that the table knows keep their state, which is newer than their
+/// records. A job with a phase that the table does not know has expired: its
+/// records are about to be deleted. Thread safety: none.
+void mergeIntoTable(JobTable &Table, const TopicRecords &Journal,
+                    const JournalTimes &Times);
+
 /// Applies a record that was appended while this instance is the owner. Only
 /// those of callers count: the owner wrote the others itself.
 ///
--- a/src/pistachioflow/entry/dispatcher_journal.cpp
+++ b/src/pistachioflow/entry/dispatcher_journal.cpp
@@ -20,8 +20,8 @@
     this->startWork(Journal);
     return;
   }
-  for (const JournalRecord &Record : Journal)
-    this->apply(Record);
+  mergeIntoTable(this->CurrentTerm->Table, Journal, this->journalTimes());
+  this->requestRound();
 }
 
 void Dispatcher::apply(const JournalRecord &Record) {
--- a/src/pistachioflow/entry/journal_state.cpp
+++ b/src/pistachioflow/entry/journal_state.cpp
@@ -60,6 +60,20 @@
     });
 }
 
+void mergeIntoTable(JobTable &Table, const TopicRecords &Journal,
+                    const JournalTimes &Times) {
+  forEachOf(Journal, RecordKind::Submission, [&](const JournalRecord &Record) {
+    const std::string_view Id = nameIn(Record);
+    const bool Expired = !Table.find(Id) && Journal.contains(phaseKey(Id));
+    if (!Expired)
+      restoreRecord(Table, RecordKind::Submission, Record, Times);
+  });
+  forEachOf(Journal, RecordKind::Cancellation,
+            [&](const JournalRecord &Record) {
+              restoreRecord(Table, RecordKind::Cancellation, Record, Times);
+            });
+}
+
 bool applyToTable(JobTable &Table, const JournalRecord &Record,
                   const JournalTimes &Times) {
   if (Record.Key.size() <= PrefixSize || Record.Value.empty())
--- /dev/null
+++ b/src/pistachioflow/entry/journal_state_test.cpp
@@ -0,0 +1,77 @@
+#include "pistachioflow/entry/journal_state.hpp"
+
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace pistachioflow {
+
+namespace {
+
+const std::string Id = "0000000000000001";
+constexpr JournalTimes Times{{1'000'000}, 1'000'000, {1'006'000}};
+
+JournalRecord submission() {
+  SubmissionRecord Record;
+  Record.Job.Steps.resize(1);
+  return {submissionKey(Id), encodeRecord(Record)};
+}
+
+JournalRecord cancellation() {
+  return {cancellationKey(Id), encodeRecord(CancellationRecord{1})};
+}
+
+JournalRecord phase(JobPhase Phase) {
+  return {phaseKey(Id), encodeRecord(JobPhaseRecord{Phase, 1'000})};
+}
+
+std::string phaseIn(JobTable &Table) {
+  const Job *Entry = Table.find(Id);
+  return Entry ? std::string(toString(Entry->Phase)) : "unknown";
+}
+
+} // namespace
+
+TEST_CASE("a running owner takes from a reload what callers appended") {
+  struct Row {
+    const char *Description;
+    std::vector<JournalRecord> Known; ///< By the table.
+    std::vector<JournalRecord> Reloaded;
+    const char *Phase;
+  };
+  const auto Case =
+      GENERATE(Row{"new job", {}, {submission()}, "queued"},
+               Row{"new job, cancelled",
+                   {},
+                   {submission(), cancellation()},
+                   "cancelled"},
+               Row{"known job, cancelled",
+                   {submission()},
+                   {submission(), cancellation()},
+                   "cancelled"},
+               Row{"ended job, cancelled later",
+                   {submission(), phase(JobPhase::Completed)},
+                   {submission(), cancellation(), phase(JobPhase::Completed)},
+                   "completed"},
+               // The record of its end is on its way.
+               Row{"known job, older phase",
+                   {submission(), phase(JobPhase::Failed)},
+                   {submission(), phase(JobPhase::Running)},
+                   "failed"},
+               // The deletions are on their way.
+               Row{"expired job",
+                   {},
+                   {submission(), phase(JobPhase::Completed)},
+                   "unknown"},
+               Row{"cancellation alone", {}, {cancellation()}, "unknown"});
+  CAPTURE(Case.Description);
+  JobTable Table;
+  restoreTable(Table, TopicRecords(Case.Known.begin(), Case.Known.end()),
+               Times);
+  mergeIntoTable(
+      Table, TopicRecords(Case.Reloaded.begin(), Case.Reloaded.end()), Times);
+  REQUIRE(phaseIn(Table) == Case.Phase);
+}
+
+} // namespace pistachioflow
--- a/src/pistachioflow/entry/topic_fold_test.cpp
+++ b/src/pistachioflow/entry/topic_fold_test.cpp
@@ -247,7 +247,9 @@
     };
     this->AlwaysWhole =
         this->AlwaysWhole && std::ranges::equal(Records, Expected, Same);
-    if (this->IsOwner && !this->Table)
+    if (this->Table)
+      mergeIntoTable(*this->Table, Records, Times);
+    else if (this->IsOwner)
       restoreTable(this->Table.emplace(), Records, Times);
     const auto Ownership = Records.find(ownershipKey());
     if (Ownership != Records.end())
@@ -273,6 +275,27 @@
   TopicFold Fold;
 };
 
+/// The jobs that a submission in \p Log names, in any state.
+std::set<std::string> idsIn(const JournalLog &Log) {
+  std::set<std::string> Ids;
+  for (const JournalRecord &Record : Log.Records)
+    if (Record.Key.starts_with("j/"))
+      Ids.insert(Record.Key.substr(2));
+  return Ids;
+}
+
+std::string describe(JobTable &Table, const std::string &Id) {
+  const Job *Entry = Table.find(Id);
+  if (!Entry)
+    return "unknown";
+  std::string Text(toString(Entry->Phase));
+  for (const auto &[Number, Opened] : Entry->Occurrences)
+    for (const StepState &Step : Opened.Steps)
+      for (const Unit &Part : Step.Units)
+        Text += " " + Part.name() + " run " + std::to_string(Part.Run);
+  return Text;
+}
+
 struct Difference {
   std::uint64_t Seed = 0;
   std::string Text;
@@ -285,6 +308,9 @@
   Store Source(Log, Random);
   Reader Instance(Log);
   Instance.readAll(Source);
+  JobTable Table;
+  restoreTable(
+      Table, foldOf(Log, static_cast<std::int64_t>(Log.Records.size())), Times);
   std::vector<Difference> Found;
   const auto compare = [&](const std::string &Subject, const std::string &Is,
                            const std::string &Expected) {
@@ -294,6 +320,9 @@
   compare("loads", Instance.AlwaysWhole ? "whole" : "a fragment", "whole");
   if (Instance.IsOwner && !Instance.Table)
     Found.push_back({Seed, "the term has no state"});
+  for (const std::string &Id : idsIn(Log))
+    if (Instance.Table)
+      compare("job " + Id, describe(*Instance.Table, Id), describe(Table, Id));
   return Found;
 }
 
--- a/tests/platform/journal_reload_test.cpp
+++ b/tests/platform/journal_reload_test.cpp
@@ -61,6 +61,19 @@
                             Expected);
 }
 
+/// Expects that \p Member shows a state, and no other one before. It may refuse
+/// to answer while it loads the journal.
+asio::awaitable<void> expectAnswer(Fleet &Daemons, std::string JobId,
+                                   std::size_t Member, std::string Expected) {
+  const Instant StartedAt = Daemons.Time.monotonic();
+  std::string State;
+  while (State.empty() && Daemons.Time.monotonic() - StartedAt < StepLimit)
+    State = co_await Daemons.queryState(JobId, Member);
+  if (State != Expected)
+    Daemons.recordViolation(Daemons.Members[Member]->Name + " shows " + JobId +
+                            " as '" + State + "', not as " + Expected);
+}
+
 asio::awaitable<void> complete(Fleet &Daemons, SubmittedJob Job,
                                std::size_t Member) {
   co_await Daemons.submit(Job, Member, 50);
@@ -109,4 +122,29 @@
   REQUIRE(Violations == std::vector<std::string>{});
 }
 
+TEST_CASE("an owner that reads a job and its cancellation by a load does not "
+          "run it") {
+  Fleet Fixture(Instances, WorkerCount, 1, folder("cancel_reload"));
+  const std::vector<std::string> Violations =
+      Fixture.run([](Fleet &Daemons) -> asio::awaitable<void> {
+        co_await waitForOwner(Daemons);
+        // The owner is at work.
+        co_await complete(Daemons, jobOf(1, 100), 0);
+        const auto Other =
+            static_cast<std::size_t>(Daemons.ownerIndex() + 1) % Instances;
+        Daemons.Platform.StoreBehaviour.WatchesSilent = true;
+        SubmittedJob Unwanted = jobOf(2, 3'000);
+        co_await Daemons.submit(Unwanted, Other, 1);
+        if (!co_await Daemons.cancel(Unwanted.Id, Other))
+          Daemons.recordViolation("not cancelled");
+        Daemons.Platform.forgetHistory();
+        // The owner has read the journal again once this has completed.
+        co_await complete(Daemons, jobOf(3, 100), Other);
+        for (std::size_t Member = 0; Member < Instances; ++Member)
+          co_await expectAnswer(Daemons, Unwanted.Id, Member, "cancelled");
+        expectStarts(Daemons, 4);
+      });
+  REQUIRE(Violations == std::vector<std::string>{});
+}
+
 } // namespace pistachioflow
