entry: a job whose records are half deleted is not known to callers

At stake: the id of an expired job that an instance goes on to know.

Cause: JobStatusTable ignored deletions of cancellations and phases, and took an entry without a submission for a job. A read is cut by its size, so a load may end between the deletions of one append: the phase is then read without its job, and stayed for ever. The order in which records come made no other difference.

Now a deletion takes back what its record set, an entry without anything left is dropped, and find() answers only for jobs with a submission.

Evidence: topic_fold_test compares the statuses with those of the whole log too.

--- a/include/pistachioflow/entry/job_status_table.hpp
+++ b/include/pistachioflow/entry/job_status_table.hpp
@@ -19,6 +19,8 @@
     std::string Queue;
     JobPhase Phase = JobPhase::Queued;
     bool CancelRequested = false;
+    /// False while only a part of its records is deleted.
+    bool Submitted = false;
   };
 
   void clear() { this->Jobs.clear(); }
@@ -36,6 +38,8 @@
   std::size_t size() const { return this->Jobs.size(); }
 
 private:
+  void dropIfEmpty(const std::string &Id);
+
   std::unordered_map<std::string, Entry> Jobs;
 };
 
--- a/src/pistachioflow/entry/job_status_table.cpp
+++ b/src/pistachioflow/entry/job_status_table.cpp
@@ -19,15 +19,19 @@
     if (!Decoded)
       return false;
     this->Jobs[Id].Queue = Decoded->Queue;
+    this->Jobs[Id].Submitted = true;
     return true;
   }
   case RecordKind::Cancellation:
-    if (!Record.Value.empty())
-      this->Jobs[Id].CancelRequested = true;
+    this->Jobs[Id].CancelRequested = !Record.Value.empty();
+    this->dropIfEmpty(Id);
     return true;
   case RecordKind::JobPhase: {
-    if (Record.Value.empty())
+    if (Record.Value.empty()) {
+      this->Jobs[Id].Phase = JobPhase::Queued;
+      this->dropIfEmpty(Id);
       return true;
+    }
     const auto Decoded = decodeRecord<JobPhaseRecord>(Record.Value);
     if (!Decoded)
       return false;
@@ -41,10 +45,18 @@
   return false;
 }
 
+void JobStatusTable::dropIfEmpty(const std::string &Id) {
+  const auto Position = this->Jobs.find(Id);
+  const Entry &Job = Position->second;
+  if (!Job.Submitted && !Job.CancelRequested && Job.Phase == JobPhase::Queued)
+    this->Jobs.erase(Position);
+}
+
 const JobStatusTable::Entry *
 JobStatusTable::find(std::string_view JobId) const {
   const auto Position = this->Jobs.find(std::string(JobId));
-  return Position == this->Jobs.end() ? nullptr : &Position->second;
+  const bool Known = Position != this->Jobs.end() && Position->second.Submitted;
+  return Known ? &Position->second : nullptr;
 }
 
 std::int64_t JobStatusTable::countQueued(std::string_view Queue) const {
--- a/src/pistachioflow/entry/topic_fold_test.cpp
+++ b/src/pistachioflow/entry/topic_fold_test.cpp
@@ -9,6 +9,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "pistachioflow/entry/job_status_table.hpp"
 #include "pistachioflow/entry/journal_state.hpp"
 
 namespace pistachioflow {
@@ -209,7 +210,7 @@
   std::int64_t First = 0;
 };
 
-/// An instance without I/O: the table while it is the owner.
+/// An instance without I/O: job statuses, and the table while it is the owner.
 class Reader {
 public:
   explicit Reader(const JournalLog &Log)
@@ -234,6 +235,7 @@
     }
   }
 
+  JobStatusTable Statuses;
   std::optional<JobTable> Table; ///< Once the term has a state.
   bool IsOwner = false;
   bool AlwaysWhole = true;
@@ -247,6 +249,9 @@
     };
     this->AlwaysWhole =
         this->AlwaysWhole && std::ranges::equal(Records, Expected, Same);
+    this->Statuses.clear();
+    for (const JournalRecord &Record : Records)
+      this->Statuses.apply(Record);
     if (this->Table)
       mergeIntoTable(*this->Table, Records, Times);
     else if (this->IsOwner)
@@ -257,6 +262,7 @@
   }
 
   void apply(const JournalRecord &Record) {
+    this->Statuses.apply(Record);
     if (this->Table)
       applyToTable(*this->Table, Record, Times);
     if (Record.Key == ownershipKey())
@@ -284,6 +290,13 @@
   return Ids;
 }
 
+std::string describe(const JobStatusTable &Statuses, const std::string &Id) {
+  const JobStatusTable::Entry *Entry = Statuses.find(Id);
+  return Entry
+             ? Entry->Queue + " " + std::string(toString(reportedPhase(*Entry)))
+             : "unknown";
+}
+
 std::string describe(JobTable &Table, const std::string &Id) {
   const Job *Entry = Table.find(Id);
   if (!Entry)
@@ -308,9 +321,13 @@
   Store Source(Log, Random);
   Reader Instance(Log);
   Instance.readAll(Source);
+  const TopicRecords Whole =
+      foldOf(Log, static_cast<std::int64_t>(Log.Records.size()));
+  JobStatusTable Statuses;
+  for (const JournalRecord &Record : Whole)
+    Statuses.apply(Record);
   JobTable Table;
-  restoreTable(
-      Table, foldOf(Log, static_cast<std::int64_t>(Log.Records.size())), Times);
+  restoreTable(Table, Whole, Times);
   std::vector<Difference> Found;
   const auto compare = [&](const std::string &Subject, const std::string &Is,
                            const std::string &Expected) {
@@ -320,9 +337,14 @@
   compare("loads", Instance.AlwaysWhole ? "whole" : "a fragment", "whole");
   if (Instance.IsOwner && !Instance.Table)
     Found.push_back({Seed, "the term has no state"});
-  for (const std::string &Id : idsIn(Log))
+  for (const std::string &Id : idsIn(Log)) {
+    compare("status of " + Id, describe(Instance.Statuses, Id),
+            describe(Statuses, Id));
     if (Instance.Table)
       compare("job " + Id, describe(*Instance.Table, Id), describe(Table, Id));
+  }
+  compare("statuses", std::to_string(Instance.Statuses.size()),
+          std::to_string(Statuses.size()));
   return Found;
 }
 
