entry: an owner stores more at once than one append may hold

At stake: an owner with more new records than the store takes in one call (request_bytes). The store refused its flush for ever: no task started, its heartbeats waited behind the flush, and each successor met the same (the review had seen it in the source only).

Cause: JournalWriter appends a write as a whole, however large; the flush of the dispatcher is one write with every changed record.

Now the flush goes out in parts that a call may hold, one after the other, in the same order; starts, and the notes of ends to workers, still wait for the last one. Two limits remain: a single record above the limit, and an owner that ends between two parts may leave records of units of an ended job, or of the phase of an expired one.

The stand-in refuses appends above a limit of its own (413) where a test sets one.

--- a/include/pistachioflow/entry/journal_writer.hpp
+++ b/include/pistachioflow/entry/journal_writer.hpp
@@ -37,6 +37,14 @@
 WriteTimeouts extendTimeouts(const WriteTimeouts &Timeouts,
                              Duration LastAppendTime);
 
+/// Returns how many bytes a record takes in a call to the store.
+std::size_t storedBytes(const JournalRecord &Record);
+
+/// Splits records, in their order, into parts of up to \p MaxBytes bytes, or of
+/// one record. Thread safety: pure.
+std::vector<std::vector<JournalRecord>>
+splitRecords(std::vector<JournalRecord> Records, std::size_t MaxBytes);
+
 /// Appends records to the journal, and batches those of several callers.
 ///
 /// An append without an answer is repeated with the same sequence number until
@@ -63,6 +71,12 @@
   asio::awaitable<WriteOutcome> write(std::vector<JournalRecord> Records,
                                       WriteTimeouts Timeouts);
 
+  /// Appends \p Records, in several appends if one call can't hold them.
+  /// Returns the outcome of the last append; after another than Stored, none
+  /// follows.
+  asio::awaitable<WriteOutcome> writeInParts(std::vector<JournalRecord> Records,
+                                             WriteTimeouts Timeouts);
+
   /// Finds out whether the store takes appends, because something suggests that
   /// it does not. Does nothing shortly after an earlier check.
   void checkStore();
--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -19,11 +19,12 @@
 
 /// Faults of the simulated store; none by default.
 struct StoreFaults {
-  bool Refusing = false;      ///< Answers 503 and does nothing.
-  bool Unresponsive = false;  ///< Does nothing and does not answer.
-  double LostAnswerShare = 0; ///< Share of appends done, but unanswered.
-  Duration Delay{0};          ///< Before each answer.
-  bool WatchesSilent = false; ///< Reads that wait get no records.
+  bool Refusing = false;          ///< Answers 503 and does nothing.
+  bool Unresponsive = false;      ///< Does nothing and does not answer.
+  double LostAnswerShare = 0;     ///< Share of appends done, but unanswered.
+  Duration Delay{0};              ///< Before each answer.
+  std::size_t MaxAppendBytes = 0; ///< Larger appends get 413. 0: no limit.
+  bool WatchesSilent = false;     ///< Reads that wait get no records.
 };
 
 /// Faults of the simulated workers; none by default.
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -359,8 +359,8 @@
       Ends.emplace_back(Worker, Worker->LastAppliedEnd);
   WriteOutcome Outcome = WriteOutcome::Stored;
   if (!Records.empty())
-    Outcome =
-        co_await Term->Writer->write(std::move(Records), OwnerWriteTimeouts);
+    Outcome = co_await Term->Writer->writeInParts(std::move(Records),
+                                                  OwnerWriteTimeouts);
   Term->Flushing = false;
   if (!Term->Active)
     co_return;
--- a/src/pistachioflow/entry/journal_writer.cpp
+++ b/src/pistachioflow/entry/journal_writer.cpp
@@ -46,6 +46,27 @@
   return {Timeouts.Refused + Extension, Timeouts.Unanswered + Extension};
 }
 
+std::size_t storedBytes(const JournalRecord &Record) {
+  constexpr std::size_t FramingBytes = 5;
+  return Record.Key.size() + Record.Value.size() + FramingBytes;
+}
+
+std::vector<std::vector<JournalRecord>>
+splitRecords(std::vector<JournalRecord> Records, std::size_t MaxBytes) {
+  std::vector<std::vector<JournalRecord>> Parts;
+  std::size_t Bytes = 0;
+  for (JournalRecord &Record : Records) {
+    const std::size_t Added = storedBytes(Record);
+    if (Parts.empty() || Bytes + Added > MaxBytes) {
+      Parts.emplace_back();
+      Bytes = 0;
+    }
+    Bytes += Added;
+    Parts.back().push_back(std::move(Record));
+  }
+  return Parts;
+}
+
 struct JournalWriter::PendingWrite {
   explicit PendingWrite(asio::io_context &Io) : Finished(Io) {}
 
@@ -94,6 +115,20 @@
   co_return Pending->Outcome;
 }
 
+asio::awaitable<WriteOutcome>
+JournalWriter::writeInParts(std::vector<JournalRecord> Records,
+                            WriteTimeouts Timeouts) {
+  std::vector<std::vector<JournalRecord>> Parts =
+      splitRecords(std::move(Records), this->MaxCallBytes);
+  WriteOutcome Outcome = WriteOutcome::Stored;
+  for (std::vector<JournalRecord> &Part : Parts) {
+    Outcome = co_await this->write(std::move(Part), Timeouts);
+    if (Outcome != WriteOutcome::Stored)
+      break;
+  }
+  co_return Outcome;
+}
+
 void JournalWriter::startAppendLoop() {
   if (this->AppendLoopRunning)
     return;
@@ -103,13 +138,12 @@
 }
 
 std::vector<JournalRecord> JournalWriter::nextBatch() {
-  constexpr std::size_t FramingBytes = 5;
   std::vector<JournalRecord> Records;
   std::size_t Bytes = 0;
   while (!this->Queue.empty()) {
     std::size_t WriteBytes = 0;
     for (const JournalRecord &Record : this->Queue.front()->Records)
-      WriteBytes += Record.Key.size() + Record.Value.size() + FramingBytes;
+      WriteBytes += storedBytes(Record);
     if (!this->Batch.empty() && Bytes + WriteBytes > this->MaxCallBytes)
       break;
     Bytes += WriteBytes;
--- a/src/pistachioflow/platform_standin/platform_server.cpp
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -258,6 +258,9 @@
 
 HttpResponse PlatformServer::serveAppend(const std::string &Query,
                                          const std::string &Body) {
+  const std::size_t Limit = this->StoreBehaviour.MaxAppendBytes;
+  if (Limit > 0 && Body.size() > Limit)
+    return json(413, {{"error", "too large"}});
   bool Malformed = false;
   const std::vector<JournalRecord> Records = decodeRecords(Body, Malformed);
   if (Malformed)
--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -109,11 +109,21 @@
       {"listen_addresses",
        {{"frontend", Local(Member.CallerPort)},
         {"ready", Local(Member.ReadyPort)}}},
-      {"platform", {{"address", Local(Member.StoreProxy->port())}}},
+      {"platform",
+       {{"address", Local(Member.StoreProxy->port())},
+        {"request_bytes", this->MaxAppendBytes}}},
       {"bounds", {{"max_hold_ms", 6'000}, {"grace_period_s", 6}}}};
   std::ofstream(Member.SettingsPath) << dumpJson(Settings);
 }
 
+void Fleet::limitAppends(std::int64_t Bytes) {
+  this->MaxAppendBytes = Bytes;
+  this->Platform.StoreBehaviour.MaxAppendBytes =
+      static_cast<std::size_t>(Bytes);
+  for (const auto &Member : this->Members)
+    this->writeSettings(*Member);
+}
+
 void Fleet::startMember(std::size_t Index) {
   FleetMember &Member = *this->Members[Index];
   const std::string Program = PISTACHIOFLOW_BIN_DIR "/pistachio-entryd";
--- a/tests/platform/fleet.hpp
+++ b/tests/platform/fleet.hpp
@@ -59,6 +59,9 @@
   std::vector<std::string>
   run(std::function<asio::awaitable<void>(Fleet &)> Test);
 
+  /// Sets how many bytes one append may have, before run().
+  void limitAppends(std::int64_t Bytes);
+
   void startMember(std::size_t Index);
   void signalMember(std::size_t Index, int Signal);
   /// Restarts processes that exited. An exit without a signal of the test is a
@@ -96,6 +99,7 @@
   // Declared first, so that it is destroyed after the sockets that use it.
   asio::io_context Io;
   std::string Folder;
+  std::int64_t MaxAppendBytes = 2'097'152;
   std::vector<std::string> Violations;
 
 public:
