--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -28,6 +28,8 @@
   Duration AppendDelay{0};    ///< Before an append is carried out.
   /// Pages hold the bytes of keys as they are, also where JSON can't.
   bool RawKeys = false;
+  std::size_t MaxAppendBytes = 0; ///< Larger appends get 413. 0: no limit.
+  bool WatchesSilent = false;     ///< Reads that wait get no records.
 };
 
 /// Faults of the simulated workers; none by default.
@@ -55,6 +57,10 @@
   /// Publishes the operators' configuration.
   void publish(const std::string &DesiredStateJson);
 
+  /// Drops every record of the journal but the newest of each key, and ends the
+  /// silence of watches.
+  void forgetHistory();
+
   /// Writes the entries of all workers now, as it also does periodically.
   void publishWorkers();
 
--- a/src/pistachioflow/entry/worker_list.cpp
+++ b/src/pistachioflow/entry/worker_list.cpp
@@ -47,14 +47,7 @@
 void Dispatcher::followWorkerList() {
   TopicObserver Observer;
   const std::weak_ptr<OwnershipTerm> Weak = this->CurrentTerm;
-  Observer.Reset = [this, Weak] {
-    const TermPtr Term = Weak.lock();
-    if (!Term || !Term->Active)
-      return;
-    Term->WorkerEntries.clear();
-    this->unlistWorkers();
-  };
-  Observer.Apply = [this, Weak](const JournalRecord &Record) {
+  const auto Apply = [this, Weak](const JournalRecord &Record) {
     const TermPtr Term = Weak.lock();
     if (!Term || !Term->Active)
       return;
@@ -63,6 +56,16 @@
     else
       this->applyWorkerEntry(Record);
   };
+  Observer.Replace = [this, Weak, Apply](const TopicRecords &Entries) {
+    const TermPtr Term = Weak.lock();
+    if (!Term || !Term->Active)
+      return;
+    Term->WorkerEntries.clear();
+    this->unlistWorkers();
+    for (const JournalRecord &Entry : Entries)
+      Apply(Entry);
+  };
+  Observer.Apply = Apply;
   Observer.CaughtUp = [this] { this->requestRound(); };
   OwnershipTerm &Term = *this->CurrentTerm;
   Term.WorkerListFollower = std::make_shared<TopicFollower>(
