--- a/include/pistachioflow/platform_standin/task_simulator.hpp
+++ b/include/pistachioflow/platform_standin/task_simulator.hpp
@@ -106,6 +106,9 @@
   std::int64_t startCount() const { return this->StartedRuns; }
   /// Returns how many workers \p Task has crashed.
   std::int64_t crashCount(const std::string &Task) const;
+  /// Returns how many workers have crashed while \p Task ran there, whatever
+  /// crashed them.
+  std::int64_t crashesUnder(const std::string &Task) const;
 
   SimulatorLimits Limits;
 
@@ -165,6 +168,7 @@
 
   std::map<std::string, SimulatedWorker> Workers;
   std::map<std::string, CausedCrashes> CrashesByTask;
+  std::map<std::string, std::int64_t> CrashedUnder; ///< Workers, by task.
   Instant LastCrashAt;
   std::set<std::string> ExpectedJobs;
   std::map<std::string, std::int64_t> DoneCounts;
--- a/src/pistachioflow/platform_standin/task_simulator_test.cpp
+++ b/src/pistachioflow/platform_standin/task_simulator_test.cpp
@@ -67,6 +67,7 @@
   REQUIRE(Fixture.Simulator.runningCount() == 0);
   REQUIRE(Fixture.Simulator.crashCount(Task) == 1);
   REQUIRE(Fixture.Simulator.crashCount(OtherTask) == 0);
+  REQUIRE(Fixture.Simulator.crashesUnder(OtherTask) == 1);
   Fixture.pass(Fixture.Simulator.Limits.RestartDelay);
   REQUIRE(Fixture.Simulator.isUp("w"));
   REQUIRE(Fixture.Simulator.incarnationStartMs("w") > Before);
--- a/src/pistachioflow/platform_standin/task_simulator_workers.cpp
+++ b/src/pistachioflow/platform_standin/task_simulator_workers.cpp
@@ -30,6 +30,8 @@
   Restarted.EarlierCapacities = Target.EarlierCapacities;
   Restarted.IncarnationStartMs = Target.IncarnationStartMs + 1;
   Target = std::move(Restarted);
+  for (const auto &[Task, Entry] : LostRuns)
+    ++this->CrashedUnder[Task];
   for (const auto &[Task, Entry] : LostRuns)
     if (Entry.Script.GangSize > 1)
       this->endGangAsBroken(Task, Entry.Run);
@@ -88,6 +90,11 @@
   return Caused == this->CrashesByTask.end() ? 0 : Caused->second.Crashes;
 }
 
+std::int64_t TaskSimulator::crashesUnder(const std::string &Task) const {
+  const auto Crashes = this->CrashedUnder.find(Task);
+  return Crashes == this->CrashedUnder.end() ? 0 : Crashes->second;
+}
+
 void TaskSimulator::setCapacity(const std::string &Id, Resources Capacity,
                                 Instant Now) {
   SimulatedWorker &Target = this->Workers.at(Id);
