Count unwanted runs against their worker's capacity

Cause: a reported run that belongs to no member is stopped, and what it occupies until it has ended was counted nowhere.

Change: a worker's link keeps what the unwanted runs of its latest report need; planning and the check before a start subtract it.

Evidence: planning_test "unwanted runs occupy their worker until they have ended" fails without the subtraction (1 == 0 starts with two and three unwanted runs) and passes with it. No process test.

--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -110,6 +110,10 @@
   bool FromProgress = false; ///< Otherwise derived from DurationModel.
 };
 
+/// Returns what is free on a worker now: what its entry shows, less the runs of
+/// members and unwanted runs. Negative if the worker has shrunk.
+Resources freeCapacity(const JobTable &Table, const WorkerLink &Worker);
+
 /// Predicts the end of a placed unit from reported progress, or else from the
 /// durations of such tasks.
 RemainingTime remainingTime(const PlanningView &View, const Unit &Unit);
--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -37,7 +37,10 @@
   Instant ReservedForUrgentUntil;
   Instant EarliestRemovalAt; ///< Set while it drains: not removed before this.
   EndNumbers Ends;           ///< Of its current incarnation.
-  Instant AvoidedUntil;      ///< Other workers are preferred until then.
+  /// Occupied by runs in its latest report that are unwanted: they are being
+  /// stopped and are in no job's members.
+  Resources UnwantedUse;
+  Instant AvoidedUntil; ///< Other workers are preferred until then.
   WorkerReliability Trust;
   Signal Wake; ///< Notified when ends are recorded.
 
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -271,6 +271,10 @@
   /// Returns the capacity that members occupy on a worker.
   Resources occupiedCapacity(std::string_view Worker) const;
 
+  /// Returns the capacity that runs occupy, also if they are in no members.
+  /// Tasks of unknown jobs count as nothing.
+  Resources neededBy(std::span<const RunningTask> Runs);
+
   /// Returns the records of all changes since the last call.
   std::vector<JournalRecord> takeRecords();
   /// Returns the events since the last call.
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -54,7 +54,7 @@
     Worker.Rack = rackOf(Link->Entry);
     Worker.Labels = Link->Entry.Labels;
     Worker.Capacity = Link->Entry.Capacity;
-    Worker.FreeNow = Worker.Capacity - View.Table.occupiedCapacity(Id);
+    Worker.FreeNow = freeCapacity(View.Table, *Link);
     Worker.FreeAfterStops = Worker.FreeNow;
     Worker.FreeAfterExpectedEnds = Worker.FreeNow;
     // The entry of an earlier incarnation may name another capacity.
@@ -321,6 +321,11 @@
   return Queue ? Queue->Terms : Job.Submission.Terms;
 }
 
+Resources freeCapacity(const JobTable &Table, const WorkerLink &Worker) {
+  return Worker.Entry.Capacity - Table.occupiedCapacity(Worker.Id) -
+         Worker.UnwantedUse;
+}
+
 RemainingTime remainingTime(const PlanningView &View, const Unit &Unit) {
   constexpr std::int64_t MinReliablePercent = 5;
   constexpr std::int64_t WholePercent = 100;
--- a/src/pistachioflow/entry/planning_test.cpp
+++ b/src/pistachioflow/entry/planning_test.cpp
@@ -1,7 +1,11 @@
 #include "pistachioflow/entry/planning.hpp"
 
+#include <memory>
+
 #include <catch2/catch.hpp>
 
+#include "pistachioflow/sched/job_table_test_support.hpp"
+
 namespace pistachioflow {
 
 TEST_CASE("a run is stopped on a draining worker if it would not end in time") {
@@ -26,4 +30,26 @@
                     Notice + Duration{Case.NoticeMs}) == Case.Leaves);
 }
 
+TEST_CASE("unwanted runs occupy their worker until they have ended") {
+  const auto [UnwantedRuns, Starts] = GENERATE(
+      table<std::size_t, std::size_t>({{0, 1}, {1, 1}, {2, 0}, {3, 0}}));
+  TableFixture Fixture({makeStep(1, false)});
+  // Runs of an earlier owner, say: their number is not the current one.
+  const std::vector<RunningTask> Unwanted(
+      UnwantedRuns, RunningTask{Fixture.task(0, 0), 9, {}, 50, 500});
+  asio::io_context Io;
+  const auto Link = std::make_shared<WorkerLink>(Io, "w0");
+  Link->Listed = Link->Synced = true;
+  Link->Entry.Service = "svc";
+  Link->Entry.Capacity = {8'000, 800, 2};
+  Link->UnwantedUse = Fixture.Table.neededBy(Unwanted);
+  const WorkerLinks Workers{{"w0", Link}};
+  const DesiredState Desired;
+  const DurationModel Durations;
+  const PlanningView View{Fixture.Table, Workers,     Desired,
+                          Durations,     Fixture.Now, Duration{60'000},
+                          Duration{50}};
+  REQUIRE(planRound(View).Starts.size() == Starts);
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -5,7 +5,6 @@
 #include "pistachioflow/entry/dispatcher.hpp"
 #include "pistachioflow/entry/dispatcher_ownership_term.hpp"
 #include "pistachioflow/entry/metrics.hpp"
-#include "pistachioflow/sched/placement.hpp"
 
 namespace pistachioflow {
 
@@ -40,8 +39,7 @@
                                std::int64_t IncarnationStartMs) {
   if (!answersAs(Worker, IncarnationStartMs))
     return "worker_changed";
-  const Resources Free =
-      Worker.Entry.Capacity - Table.occupiedCapacity(Worker.Id);
+  const Resources Free = freeCapacity(Table, Worker);
   const bool Within =
       Free.MilliCores >= 0 && Free.MemoryMb >= 0 && Free.Accelerators >= 0;
   return Within ? "" : "capacity_shrank";
@@ -275,6 +273,7 @@
   Worker->UnresponsiveSince = {};
   const std::vector<RunningTask> Unwanted = Term->Table.applyReport(
       Worker->Id, Report, SentAt, Now, this->Time.wall().Ms);
+  Worker->UnwantedUse = Term->Table.neededBy(Unwanted);
   for (const EndedRun &End : Report.Ended)
     Worker->Ends.Applied = std::max(Worker->Ends.Applied, End.Number);
   for (const RunningTask &Task : Unwanted) {
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -41,6 +41,14 @@
   return Parsed;
 }
 
+/// What a task of the step counts against its worker's capacity.
+Resources countedResources(const StepSpec &Step) {
+  Resources Each = Step.TaskResources;
+  if (Step.FillsIdleCpu)
+    Each.MilliCores = 0;
+  return Each;
+}
+
 Resources plus(Resources Left, const Resources &Right) {
   Left.MilliCores += Right.MilliCores;
   Left.MemoryMb += Right.MemoryMb;
@@ -480,12 +488,16 @@
 
 Resources JobTable::occupiedCapacity(std::string_view Worker) const {
   Resources Used;
-  for (const MemberRef &Ref : this->membersOn(Worker)) {
-    Resources Each = Ref.ParentUnit->spec().TaskResources;
-    if (Ref.ParentUnit->spec().FillsIdleCpu)
-      Each.MilliCores = 0;
-    Used = plus(Used, Each);
-  }
+  for (const MemberRef &Ref : this->membersOn(Worker))
+    Used = plus(Used, countedResources(Ref.ParentUnit->spec()));
+  return Used;
+}
+
+Resources JobTable::neededBy(std::span<const RunningTask> Runs) {
+  Resources Used;
+  for (const RunningTask &Run : Runs)
+    if (const TaskLocation Place = this->findTask(Run.Task); Place.ParentUnit)
+      Used = plus(Used, countedResources(Place.ParentUnit->spec()));
   return Used;
 }
 
