sched: no presumed end outlives its job

Cause: workerUnresponsive put the unit of an ended job into PresumedEndsByWorker, endJob had already emptied it, expire() freed the job, and resolvePresumedEnds used the unit at the worker's next report.

Evidence: "a worker comes back after the job of its gang was dropped" failed on the code without the fix, in the ordinary build: row "completed, then lost", SIGSEGV.

Fix: an ended job gets no presumed end, since no attempt follows; and expire() removes the units of the job that it frees, whatever put them in.

--- a/src/pistachioflow/sched/job_table_records.cpp
+++ b/src/pistachioflow/sched/job_table_records.cpp
@@ -68,6 +68,8 @@
       ++Entry;
       continue;
     }
+    for (auto &[Worker, Units] : this->PresumedEndsByWorker)
+      std::erase_if(Units, BelongsToJob);
     this->DroppedKeys.push_back(submissionKey(Job.Id));
     this->DroppedKeys.push_back(cancellationKey(Job.Id));
     this->DroppedKeys.push_back(phaseKey(Job.Id));
--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -266,9 +266,12 @@
     this->recordEvent(TableEvent::Kind::RunLost,
                       Ref.ParentUnit->taskName(Ref.Index), std::string(Worker),
                       Ref.ParentUnit->Run, "gang_ended");
-    presumeEnd(Ref.ParentUnit->Attempts, Worker, Ref.ParentUnit->Run,
-               LeaseEnds);
-    this->PresumedEndsByWorker[std::string(Worker)].insert(Ref.ParentUnit);
+    // An ended job has no further attempt that the end could count for.
+    if (!hasEnded(Ref.ParentUnit->ParentJob->Phase)) {
+      presumeEnd(Ref.ParentUnit->Attempts, Worker, Ref.ParentUnit->Run,
+                 LeaseEnds);
+      this->PresumedEndsByWorker[std::string(Worker)].insert(Ref.ParentUnit);
+    }
     this->endMember(*Ref.ParentUnit, Ref.Index, Now);
     this->requeueIfEnded(*Ref.ParentUnit, Now);
   }
