--- a/src/pistachioflow/sched/job_table_crashes.cpp
+++ b/src/pistachioflow/sched/job_table_crashes.cpp
@@ -44,8 +44,10 @@
 /// returns.
 void JobTable::suspectCrash(Unit &Unit, std::size_t Index, Instant Now) {
   const MemberPhase Phase = Unit.Members[Index].Phase;
-  if (Phase == MemberPhase::Planned || Phase == MemberPhase::Refused)
-    return;
+  const bool NeverSent =
+      Phase == MemberPhase::Planned || Phase == MemberPhase::Refused;
+  if (NeverSent || hasEnded(Unit.ParentJob->Phase))
+    return; // Records of ended jobs are dropped.
   pistachioflow::suspectCrash(Unit.Crashes, crashOf(Unit, Index), Now);
   this->SuspectsByWorker[Unit.Members[Index].Worker].insert(&Unit);
   this->markDirty(Unit);
