Let guaranteed work leave its rack in time

Seen: a job of priority 0 that its guarantee covers does not begin where the rack of its data is full of work that it may not preempt, though work of lower priority, or none, is on all other racks (RECLAIM).

Cause: preemption looked at the preferred racks only, without a bound in time; free workers elsewhere were used after 2 s at the earliest, and after twice the expected time of a run where the service is busy: 120 s in the test.

Change: once such work is due and its racks yield nothing, it takes free workers of any rack, or preempts there. Guarantees bind as before.

With it comes a random play with workers that fail, refuse, fall silent, drain and are lost, jobs that fail by their own fault, guarantees and changes of the owner.

--- /dev/null
+++ b/src/pistachioflow/entry/planning_faults_test.cpp
@@ -0,0 +1,147 @@
+// Placement rounds while workers, jobs and owners fail, with a checker that
+// knows only the users' rule: with capacity to spare, no job waits for long.
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "simulated_cluster.hpp"
+
+namespace pistachioflow::testing {
+
+namespace {
+
+constexpr std::size_t WorkerCount = 24;
+constexpr std::size_t RackCount = 6;
+constexpr std::size_t MaxAddedWorkers = 6;
+constexpr int ArrivalRounds = 200;
+constexpr int Rounds = 450;
+
+/// One random play: jobs and troubles arrive for a while, then the queue is
+/// worked off.
+class RandomPlay {
+public:
+  explicit RandomPlay(std::uint64_t Seed) : Random(Seed) {
+    this->Simulated.guarantee("team", 32);
+    this->Simulated.guarantee("other", 24);
+    for (std::size_t Index = 0; Index < WorkerCount; ++Index)
+      this->Simulated.addWorker("w" + std::to_string(Index),
+                                "r" + std::to_string(Index % RackCount),
+                                Index % 7 == 0 ? "b" : "a");
+  }
+
+  std::vector<std::string> run() {
+    for (int Round = 0; Round < Rounds; ++Round) {
+      if (Round < ArrivalRounds && this->pick(0, 3) == 0)
+        this->submit();
+      if (Round < ArrivalRounds && this->pick(0, 39) == 0)
+        this->disturb();
+      this->Simulated.playRound();
+    }
+    return this->Simulated.Violations;
+  }
+
+private:
+  std::int64_t pick(std::int64_t Low, std::int64_t High) {
+    return std::uniform_int_distribution<std::int64_t>(Low, High)(this->Random);
+  }
+
+  void submit() {
+    const bool Gang = this->pick(0, 1) == 1;
+    StepSpec Step = makeStep(Gang ? this->pick(1, 6) : this->pick(1, 4),
+                             std::int64_t{1} << this->pick(0, 3), Gang);
+    Step.TightlyCoupled = Gang && this->pick(0, 1) == 1;
+    if (this->pick(0, 3) == 0)
+      Step.DataRack = "r" + std::to_string(this->pick(0, 5));
+    if (this->pick(0, 5) == 0)
+      Step.RequiredLabel = "b";
+    if (!Gang && this->pick(0, 7) == 0) {
+      Step.LongRunning = true;
+      Step.TaskResources.Accelerators = 1;
+    }
+    SimulatedJob Behaviour{this->pick(500, 9'000)};
+    if (this->pick(0, 4) == 0)
+      Behaviour.EarlyFailures = static_cast<int>(this->pick(1, 4));
+    this->Simulated.submit(jobId(++this->Jobs), Step, this->pick(0, 2),
+                           Behaviour, this->pick(0, 1) == 1 ? "team" : "other");
+  }
+
+  void disturb() {
+    const std::vector<std::string> Ids = this->Simulated.workerIds();
+    const std::string &Id = Ids[static_cast<std::size_t>(
+        this->pick(0, static_cast<std::int64_t>(Ids.size()) - 1))];
+    const Instant Until =
+        this->Simulated.now() + Duration{this->pick(500, 8'000)};
+    switch (this->pick(0, 5)) {
+    case 0:
+      this->Simulated.trouble(Id).FailsUntil = Until;
+      break;
+    case 1:
+      this->Simulated.trouble(Id).RefusesUntil = Until;
+      break;
+    case 2:
+      this->Simulated.trouble(Id).SilentUntil = Until;
+      break;
+    case 3:
+      this->Simulated.changeOwner();
+      break;
+    case 4:
+      this->Simulated.drainWorker(Id);
+      break;
+    default:
+      if (this->Added == MaxAddedWorkers)
+        break;
+      this->Simulated.loseWorker(Id);
+      this->Simulated.addWorker(
+          "w" + std::to_string(WorkerCount + this->Added++), "r9", "b");
+      break;
+    }
+  }
+
+  std::mt19937_64 Random;
+  SimulatedCluster Simulated;
+  std::size_t Jobs = 0;
+  std::size_t Added = 0;
+};
+
+} // namespace
+
+TEST_CASE("no job waits beside idle workers once faults are over") {
+  constexpr std::uint64_t Seeds = 60;
+  std::vector<std::string> Violations;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+    for (const std::string &Text : RandomPlay(Seed).run())
+      Violations.push_back("seed " + std::to_string(Seed) + ": " + Text);
+  REQUIRE(Violations == std::vector<std::string>{});
+}
+
+TEST_CASE("guaranteed work leaves its rack to begin in time") {
+  // Its rack is full of work that it may not preempt.
+  constexpr Duration ReclaimTimeout{3'400};
+  constexpr std::int64_t LongMs = 60'000;
+  SimulatedCluster Simulated;
+  Simulated.guarantee("team", 32);
+  for (std::size_t Index = 0; Index < 6; ++Index)
+    Simulated.addWorker("w" + std::to_string(Index),
+                        "r" + std::to_string(Index / 2));
+  StepSpec Step = makeStep(2, 8, GENERATE(true, false));
+  Step.TaskResources = WorkerCapacity;
+  Step.EstimatedMs = LongMs;
+  Step.DataRack = "r0";
+  Simulated.submit(jobId(1), Step, 0, {LongMs});
+  Simulated.play(Duration{500});
+  const std::size_t LowerJobs = GENERATE(1U, 2U);
+  Step.DataRack = "";
+  for (std::size_t Job = 0; Job < LowerJobs; ++Job)
+    Simulated.submit(jobId(2 + Job), Step, 2, {LongMs});
+  Simulated.play(Duration{500});
+  Step.DataRack = "r0";
+  Simulated.submit(jobId(9), Step, 0, {LongMs});
+  Simulated.play(ReclaimTimeout);
+  REQUIRE(Simulated.hasStarted(jobId(9)));
+}
+
+} // namespace pistachioflow::testing
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -202,12 +202,34 @@
       }
     }
     if (Unit.Priority == 0)
-      this->preemptFor(Index, Racks);
-    else if (Unit.TaskCount > 1)
+      return this->tryUrgent(Index, Racks);
+    if (Unit.TaskCount > 1)
       this->reserveFor(Index, Racks);
     return false;
   }
 
+  bool mayReclaim(const WaitingUnit &Unit) const {
+    return Unit.ReclaimDue &&
+           this->Guarantees.covers(Unit.Workspace, acceleratorsOf(Unit));
+  }
+
+  /// Preempts for a unit of the highest priority. Guaranteed work has a limit
+  /// in time and its racks are a preference: where they yield nothing, it takes
+  /// workers of any rack. Returns whether the unit starts now.
+  bool tryUrgent(std::size_t Index, std::span<const std::string_view> Racks) {
+    const WaitingUnit &Unit = this->Waiting[Index];
+    const bool Planned = this->preemptFor(Index, Racks);
+    if (Planned || Racks.empty() || !this->mayReclaim(Unit))
+      return false;
+    if (auto Chosen =
+            chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow)) {
+      this->start(Index, std::move(*Chosen));
+      return true;
+    }
+    this->preemptFor(Index, {});
+    return false;
+  }
+
   /// Starts a unit with a claim on its claimed workers, or on others in place
   /// of those that are not released yet. Otherwise the claim stays held.
   bool tryHeld(std::size_t Index) {
@@ -276,6 +298,8 @@
 
   void start(std::size_t Index, WorkerChoice Chosen) {
     const WaitingUnit &Unit = this->Waiting[Index];
+    if (this->isHeldBack(Index))
+      this->Plan.HeldBack.pop_back();
     occupy(this->Workers, Chosen, countedDemand(*Unit.Step));
     if (Unit.Priority == 0)
       this->Guarantees.use(Unit.Workspace, acceleratorsOf(Unit));
@@ -338,25 +362,24 @@
     Worker.FreeAfterExpectedEnds = Worker.FreeAfterExpectedEnds + PerTask;
   }
 
-  void preemptFor(std::size_t Index, std::span<const std::string_view> Racks) {
+  /// Returns whether preemptions make room for the unit.
+  bool preemptFor(std::size_t Index, std::span<const std::string_view> Racks) {
     const WaitingUnit &Unit = this->Waiting[Index];
-    const std::int64_t Needed = acceleratorsOf(Unit);
-    const bool MayReclaim =
-        Unit.ReclaimDue && this->Guarantees.covers(Unit.Workspace, Needed);
     const std::span<const bool> StoppingNow(this->Stopping.get(),
                                             this->Placed.size());
     const std::optional<Preemption> Planned =
         planPreemption({this->Workers, this->Placed, StoppingNow, Unit,
-                        MayReclaim, this->Guarantees},
+                        this->mayReclaim(Unit), this->Guarantees},
                        Racks);
     if (!Planned)
-      return;
+      return false;
     for (const Victim &Stopped : Planned->Victims)
       this->stop(Stopped, Index);
     occupy(this->Workers, Planned->Chosen, countedDemand(*Unit.Step));
-    this->Guarantees.claim(Unit.Workspace, Needed);
+    this->Guarantees.claim(Unit.Workspace, acceleratorsOf(Unit));
     if (!Planned->Victims.empty())
       this->Plan.Claims.push_back({Index, Planned->Chosen});
+    return true;
   }
 
   void stop(const Victim &Stopped, std::size_t Beneficiary) {
