Keep reservations for gangs longer in a cluster that is full

Seen: a wide gang does not start in a cluster whose accelerators are all in use: smaller work of lower priority takes each worker that drains for it.

Cause: a unit ignored reservations after 2 s wherever any resource of its service was mostly free. Where tasks need accelerators, cores are mostly free even in a full cluster. The first workers that drain for a gang stand idle for longer than 2 s until the last one has drained, so that they were lost again.

Change: reservations for gangs have a limit of their own. It stays 2 s where less than half of the resource that the unit needs is in use, and for tasks that last; otherwise it is 10 s, or the limit for racks if that is longer. The limit for racks is as before.

--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -80,8 +80,9 @@
   bool WaitsForExpectedEnds = false;
   bool LastAttempt = false; ///< One more failure fails its job.
   /// Preferences have kept it from free workers for long enough: it takes any
-  /// worker that it fits on.
+  /// worker that it fits on and that is not reserved for a gang ahead of it.
   bool AcceptsAnyWorker = false;
+  bool IgnoresReservations = false; ///< And those that are reserved as well.
 };
 
 /// A unit that has been placed. Its texts are views of the caller's.
--- a/include/pistachioflow/sched/preference.hpp
+++ b/include/pistachioflow/sched/preference.hpp
@@ -15,7 +15,8 @@
   std::int64_t ExpectedMs = 0; ///< Of a run on preferred workers.
   double RemotePenalty = 1.0;  ///< Slowdown factor on other racks.
   bool LongRunning = false;    ///< Each moment without a run is lost.
-  bool SpareCapacity = false;  ///< Its service has workers to spare.
+  bool SpareAny = false;       ///< Its service has some resource to spare.
+  bool SpareNeeded = false;    ///< It has the resource to spare that is needed.
 };
 
 /// Returns how long preferences may keep a unit from free workers. Service,
@@ -27,9 +28,32 @@
 /// idle workers, so that it hardly waits. Thread safety: pure.
 Duration preferenceLimit(const PreferenceInputs &Inputs);
 
-/// Whether less than half of a service's cores, memory or accelerators is in
-/// use. Thread safety: pure.
-bool hasSpareCapacity(std::span<const PlacementWorker> Workers,
-                      std::string_view Service);
+/// Returns how long reservations for gangs ahead of a unit may keep it from
+/// free workers, never less than preferenceLimit().
+///
+/// Load pattern: a wide gang in a cluster without free accelerators. The first
+/// workers that drain for it stand idle until the last one has drained; if
+/// smaller work took them meanwhile, the gang would never start. Thread safety:
+/// pure.
+Duration reservationLimit(const PreferenceInputs &Inputs);
+
+/// Whether less than half of a service's resource is in use.
+struct SpareCapacity {
+  bool Cores = false;
+  bool Memory = false;
+  bool Accelerators = false;
+
+  bool any() const { return this->Cores || this->Memory || this->Accelerators; }
+  /// Whether there is spare capacity for tasks like \p PerTask: accelerators
+  /// are what tasks that need them wait for.
+  bool sparesFor(const Resources &PerTask) const {
+    return PerTask.Accelerators > 0 ? this->Accelerators
+                                    : this->Cores || this->Memory;
+  }
+};
+
+/// Thread safety: pure.
+SpareCapacity spareCapacity(std::span<const PlacementWorker> Workers,
+                            std::string_view Service);
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -237,17 +237,21 @@
   }
 }
 
-/// Whether preferences have kept a unit from free workers for long enough.
-bool acceptsAnyWorker(const PlanningView &View, const Unit &Waiting,
-                      bool SpareCapacity) {
+/// Notes whether preferences, and reservations for gangs, have kept a unit from
+/// free workers for long enough.
+void boundPreferences(const PlanningView &View, const Unit &Waiting,
+                      const SpareCapacity &Spare, WaitingUnit &Entry) {
   if (Waiting.HeldBackSince.Ms == 0)
-    return false;
+    return;
+  const StepSpec &Step = Waiting.spec();
   const std::int64_t ExpectedMs = View.Durations.expectedMs(
-      Waiting.ParentJob->Submission.Queue, Waiting.spec().EstimatedMs);
-  const Duration Limit =
-      preferenceLimit({ExpectedMs, View.RemotePenalty,
-                       Waiting.spec().LongRunning, SpareCapacity});
-  return View.Now - Waiting.HeldBackSince >= Limit;
+      Waiting.ParentJob->Submission.Queue, Step.EstimatedMs);
+  const PreferenceInputs Inputs{ExpectedMs, View.RemotePenalty,
+                                Step.LongRunning, Spare.any(),
+                                Spare.sparesFor(Step.TaskResources)};
+  const Duration HeldBack = View.Now - Waiting.HeldBackSince;
+  Entry.AcceptsAnyWorker = HeldBack >= preferenceLimit(Inputs);
+  Entry.IgnoresReservations = HeldBack >= reservationLimit(Inputs);
 }
 
 /// Explains the waits that are due for a log line. \p After are the workers
@@ -421,15 +425,14 @@
   const std::vector<PlacedUnit> Placed = collectPlaced(View, Active, Workers);
   std::vector<WaitingUnit> Waiting;
   std::map<const StepState *, std::size_t> Groups;
-  std::map<std::string_view, bool> SpareCapacity;
+  std::map<std::string_view, SpareCapacity> SpareOf;
   for (const Unit *Unit : Units) {
     Waiting.push_back(describeWaiting(View, *Unit));
     const std::string_view Service = Waiting.back().Service;
-    const auto [Spare, Added] = SpareCapacity.try_emplace(Service);
+    const auto [Spare, Added] = SpareOf.try_emplace(Service);
     if (Added)
-      Spare->second = hasSpareCapacity(Workers, Service);
-    Waiting.back().AcceptsAnyWorker =
-        acceptsAnyWorker(View, *Unit, Spare->second);
+      Spare->second = spareCapacity(Workers, Service);
+    boundPreferences(View, *Unit, Spare->second, Waiting.back());
     const StepState *Step =
         &Unit->ParentJob->Occurrences.at(Unit->Occurrence).Steps[Unit->Step];
     Waiting.back().Group =
--- a/src/pistachioflow/entry/planning_faults_test.cpp
+++ b/src/pistachioflow/entry/planning_faults_test.cpp
@@ -144,4 +144,32 @@
   REQUIRE(Simulated.hasStarted(jobId(9)));
 }
 
+TEST_CASE("small tasks do not keep a wide gang from starting") {
+  // Without free accelerators, they would take each worker that drains for it.
+  constexpr std::size_t Workers = 20;
+  constexpr int MaxWaitS = 15;
+  const auto Seed = GENERATE(range(1U, 11U));
+  std::mt19937_64 Random(Seed);
+  std::uniform_int_distribution<std::int64_t> WorkMs(500, 9'000);
+  SimulatedCluster Simulated;
+  for (std::size_t Index = 0; Index < Workers; ++Index)
+    Simulated.addWorker("w" + std::to_string(Index), "r0");
+  std::size_t Jobs = 100;
+  const auto AddTasks = [&](std::size_t Count) {
+    for (std::size_t Job = 0; Job < Count; ++Job)
+      Simulated.submit(jobId(Jobs++), makeStep(1, 8, false), 2,
+                       {WorkMs(Random)});
+  };
+  AddTasks(60);
+  Simulated.play(Duration{1'000});
+  Simulated.submit(jobId(1), makeStep(8, 8, true), 1);
+  int WaitedS = 0;
+  for (; WaitedS < MaxWaitS && !Simulated.hasStarted(jobId(1)); ++WaitedS) {
+    AddTasks(4);
+    Simulated.play(Duration{1'000});
+  }
+  CAPTURE(Seed, WaitedS);
+  REQUIRE(Simulated.hasStarted(jobId(1)));
+}
+
 } // namespace pistachioflow::testing
--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -82,12 +82,12 @@
 }
 
 bool isEligible(const PlacementWorker &Worker, const WaitingUnit &Unit) {
-  if (Unit.AcceptsAnyWorker)
-    return mayHost(Worker, Unit);
+  if (Worker.ReservedThisRound && !Unit.IgnoresReservations)
+    return false;
   const bool NonUrgentSingleTask = Unit.Priority > 0 && Unit.TaskCount == 1;
-  if (Worker.ReservedForUrgent && NonUrgentSingleTask)
+  if (Worker.ReservedForUrgent && NonUrgentSingleTask && !Unit.AcceptsAnyWorker)
     return false;
-  return !Worker.ReservedThisRound && mayHost(Worker, Unit);
+  return mayHost(Worker, Unit);
 }
 
 bool isAvoided(const PlacementWorker &Worker, const WaitingUnit &Unit) {
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -84,7 +84,7 @@
       this->Plan.Blocked.push_back(Index);
       if (!Unit.Step->Gang && Unit.Priority > 0)
         this->LastBlocked = {Unit.Group, Unit.AcceptsAnyWorker,
-                             this->isHeldBack(Index)};
+                             Unit.IgnoresReservations, this->isHeldBack(Index)};
     }
     return std::move(this->Plan);
   }
@@ -94,6 +94,7 @@
   struct BlockedStep {
     std::size_t Group = NoGroup;
     bool AcceptsAnyWorker = false;
+    bool IgnoresReservations = false;
     bool HeldBack = false;
   };
 
@@ -101,7 +102,8 @@
   /// same workers.
   bool isBlockedWithGroup(const WaitingUnit &Unit) const {
     return Unit.Group == this->LastBlocked.Group &&
-           Unit.AcceptsAnyWorker == this->LastBlocked.AcceptsAnyWorker;
+           Unit.AcceptsAnyWorker == this->LastBlocked.AcceptsAnyWorker &&
+           Unit.IgnoresReservations == this->LastBlocked.IgnoresReservations;
   }
 
   bool isHeldBack(std::size_t Index) const {
@@ -157,22 +159,23 @@
   }
 
   /// Chooses free workers for a unit: those that it prefers, or else any that
-  /// it fits on if it accepts them. Notes a unit that its preferences hold
-  /// back.
+  /// it fits on if it accepts them. Notes a unit that preferences or
+  /// reservations hold back.
   std::optional<WorkerChoice>
   chooseNow(std::size_t Index, std::span<const std::string_view> Racks) {
     WaitingUnit Unit = this->Waiting[Index];
-    const bool AcceptsAnyWorker = std::exchange(Unit.AcceptsAnyWorker, false);
+    Unit.AcceptsAnyWorker = Unit.IgnoresReservations = false;
     auto Preferred =
         chooseWorkers(this->Workers, Unit, Racks, &PlacementWorker::FreeNow);
     if (Preferred || (Racks.empty() && !this->AnyReserved))
       return Preferred;
-    Unit.AcceptsAnyWorker = true;
-    auto Anywhere =
-        chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow);
-    if (!Anywhere || AcceptsAnyWorker)
-      return Anywhere;
-    this->Plan.HeldBack.push_back(Index);
+    if (this->Waiting[Index].AcceptsAnyWorker)
+      if (auto Accepted = chooseWorkers(this->Workers, this->Waiting[Index], {},
+                                        &PlacementWorker::FreeNow))
+        return Accepted;
+    Unit.AcceptsAnyWorker = Unit.IgnoresReservations = true;
+    if (chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow))
+      this->Plan.HeldBack.push_back(Index);
     return std::nullopt;
   }
 
--- a/src/pistachioflow/sched/preference.cpp
+++ b/src/pistachioflow/sched/preference.cpp
@@ -9,11 +9,13 @@
 /// Shorter than any time in which operators expect idle workers to be used, and
 /// long enough for runs to end that are just about to.
 constexpr Duration MinPreferenceLimit{2'000};
+/// Most runs that a reserved worker has to wait for end within this time.
+constexpr Duration MinReservationLimit{10'000};
 
 } // namespace
 
 Duration preferenceLimit(const PreferenceInputs &Inputs) {
-  if (Inputs.LongRunning || Inputs.SpareCapacity)
+  if (Inputs.LongRunning || Inputs.SpareAny)
     return MinPreferenceLimit;
   const double ExtraMs =
       (Inputs.RemotePenalty - 1.0) * static_cast<double>(Inputs.ExpectedMs);
@@ -21,8 +23,14 @@
                   Duration{static_cast<std::int64_t>(ExtraMs)});
 }
 
-bool hasSpareCapacity(std::span<const PlacementWorker> Workers,
-                      std::string_view Service) {
+Duration reservationLimit(const PreferenceInputs &Inputs) {
+  if (Inputs.LongRunning || Inputs.SpareNeeded)
+    return preferenceLimit(Inputs);
+  return std::max(MinReservationLimit, preferenceLimit(Inputs));
+}
+
+SpareCapacity spareCapacity(std::span<const PlacementWorker> Workers,
+                            std::string_view Service) {
   Resources Total;
   Resources Free;
   for (const PlacementWorker &Worker : Workers) {
@@ -34,9 +42,9 @@
   const auto MostlyFree = [](std::int64_t Unused, std::int64_t All) {
     return All > 0 && Unused > All / 2;
   };
-  return MostlyFree(Free.MilliCores, Total.MilliCores) ||
-         MostlyFree(Free.MemoryMb, Total.MemoryMb) ||
-         MostlyFree(Free.Accelerators, Total.Accelerators);
+  return {MostlyFree(Free.MilliCores, Total.MilliCores),
+          MostlyFree(Free.MemoryMb, Total.MemoryMb),
+          MostlyFree(Free.Accelerators, Total.Accelerators)};
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/preference_test.cpp
+++ b/src/pistachioflow/sched/preference_test.cpp
@@ -16,6 +16,29 @@
   REQUIRE(preferenceLimit(Inputs).Ms == LimitMs);
 }
 
+TEST_CASE("reservations hold longer while the needed resource is in use") {
+  const auto [Inputs, LimitMs] = GENERATE(table<PreferenceInputs, std::int64_t>(
+      {{{7'000, 3.0, false, false, false}, 14'000},
+       {{500, 3.0, false, false, false}, 10'000},
+       {{7'000, 3.0, false, true, false}, 10'000},
+       {{7'000, 3.0, false, true, true}, 2'000},
+       {{7'000, 3.0, true, false, false}, 2'000}}));
+  REQUIRE(reservationLimit(Inputs).Ms == LimitMs);
+}
+
+TEST_CASE("tasks with accelerators need spare accelerators") {
+  struct Row {
+    SpareCapacity Spare;
+    std::int64_t Accelerators;
+    bool Spares;
+  };
+  const auto Case = GENERATE(
+      Row{{true, true, false}, 1, false}, Row{{false, false, true}, 1, true},
+      Row{{false, false, true}, 0, false}, Row{{true, false, false}, 0, true},
+      Row{{false, true, false}, 0, true});
+  REQUIRE(Case.Spare.sparesFor({1'000, 100, Case.Accelerators}) == Case.Spares);
+}
+
 TEST_CASE("a service has capacity to spare below half use of a resource") {
   struct Row {
     const char *Name;
@@ -35,7 +58,7 @@
   Workers[1].FreeNow = Case.Free;
   Workers[2].Service = "other";
   Workers[2].FreeNow = Workers[2].Capacity;
-  REQUIRE(hasSpareCapacity(Workers, "svc") == Case.Spare);
+  REQUIRE(spareCapacity(Workers, "svc").any() == Case.Spare);
 }
 
 } // namespace pistachioflow
