Expect no end of tasks that last

Seen: a gang that waits for a whole rack reserves workers whose tasks last, and waits for them for as long as these run; work behind it is kept from their free capacity and from the idle workers reserved beside them.

Cause: the remaining time of a task that lasts was predicted from its estimate or its progress, which is 100 once it serves: it counted as about to end, in 100 ms, for ever. So reservations chose such workers first, units waited for such ends, and a draining worker kept such a task until 100 ms before it leaves.

Evidence: 'no worker is reserved until a task that lasts has ended' fails before ('{ "w0", "w1" } == { }', both with half of the rack taken for good).

Change: such a task never ends by itself. On a draining worker it is now stopped at the notice, in time for a regular stop.

--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -114,6 +115,9 @@
       Unplaceable;
 };
 
+/// The remaining time of a task that runs until its job is cancelled.
+inline constexpr Duration NeverEnds{std::numeric_limits<std::int64_t>::max()};
+
 /// Expected time to the end of a run.
 struct RemainingTime {
   Duration Span;
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -356,6 +356,8 @@
   constexpr std::int64_t MinRemainingMs = 100;
   /// Later than this, the run has slowed down.
   constexpr std::int64_t MaxOverdueMs = 300;
+  if (Unit.spec().LongRunning)
+    return {NeverEnds, false};
   const std::int64_t RunMs = (View.Now - Unit.PlacedAt).Ms;
   std::int64_t ByProgress = 0;
   for (const Member &Peer : Unit.Members) {
--- a/src/pistachioflow/entry/planning_faults_test.cpp
+++ b/src/pistachioflow/entry/planning_faults_test.cpp
@@ -172,4 +172,26 @@
   REQUIRE(Simulated.hasStarted(jobId(1)));
 }
 
+TEST_CASE("no worker is reserved until a task that lasts has ended") {
+  // Each rack has such a task, so that no rack becomes free as a whole.
+  SimulatedCluster Simulated;
+  for (std::size_t Index = 0; Index < 8; ++Index)
+    Simulated.addWorker("w" + std::to_string(Index),
+                        "r" + std::to_string(Index / 2));
+  StepSpec Lasting = makeStep(1, 8, false);
+  Lasting.LongRunning = true;
+  for (std::size_t Rack = 0; Rack < 4; ++Rack) {
+    Lasting.DataRack = "r" + std::to_string(Rack);
+    Simulated.submit(jobId(100 + Rack), Lasting, 2);
+  }
+  Simulated.play(Duration{1'000});
+  StepSpec Gang = makeStep(2, 8, true);
+  Gang.TightlyCoupled = true;
+  Simulated.submit(jobId(1), Gang, 1);
+  Simulated.play(Duration{1'600});
+  Job &Waiting = *Simulated.Table->find(jobId(1));
+  const Unit &Entry = Waiting.Occurrences.at(0).Steps.front().Units.front();
+  REQUIRE(Entry.ReservedWorkers == std::vector<std::string>{});
+}
+
 } // namespace pistachioflow::testing
--- a/src/pistachioflow/entry/planning_test.cpp
+++ b/src/pistachioflow/entry/planning_test.cpp
@@ -18,7 +18,8 @@
       GENERATE(Row{"ends in time", 0, 1'500, false},
                Row{"does not end in time", 0, 2'500, true},
                Row{"time has passed", 1'000, 1'500, true},
-               Row{"the worker should have left", 2'500, 100, true});
+               Row{"the worker should have left", 2'500, 100, true},
+               Row{"lasts", 0, NeverEnds.Ms, true});
   CAPTURE(Case.Name);
   const Instant Notice{10'000};
   const RemainingTime Run{{Case.LeftMs}, true};
