Replace a refused member of a gang on several racks

Cause: the racks of a gang were taken from its other members only. Of two, one is left, so that the gang seemed to stand on one rack. A gang near its data had to stay there if any member did, though others had left it.

Evidence: 'a gang on two racks replaces a refused member on any rack' fails before, tightly coupled and near its data alike ('0 == 2', no members left).

Change: the racks are those of all members as they were placed, and bind only if they are one rack.

--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -144,11 +144,13 @@
 bool mayHost(const PlacementWorker &Worker, const WaitingUnit &Unit);
 
 /// Chooses another worker for a gang member that its first worker refused. \p
-/// OtherRacks are the racks of the other members. Deprioritized workers are
-/// excluded: a second refusal would delay the gang more than a new placement.
+/// Racks are those of all members as they were placed: a gang that stands on
+/// one rack stays there, one on several racks may use any. Deprioritized
+/// workers are excluded: a second refusal would delay the gang more than a new
+/// placement.
 std::optional<std::size_t>
 planReplacement(std::span<PlacementWorker> Workers, const WaitingUnit &Gang,
-                std::span<const std::string_view> OtherRacks);
+                std::span<const std::string_view> Racks);
 
 /// Decides where units of \p Waiting start, in the given order, and which of \p
 /// Placed are preempted.
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -388,7 +388,7 @@
       std::vector<std::string_view> Racks;
       for (const Member &Other : Unit->Members)
         if (const auto Link = View.Workers.find(Other.Worker);
-            Other.occupiesCapacity() && Link != View.Workers.end())
+            Link != View.Workers.end())
           Racks.push_back(rackOf(Link->second->Entry));
       const bool InTime = View.Now - Unit->PlacedAt <= MoveTimeout;
       const auto Worker =
--- a/src/pistachioflow/entry/planning_faults_test.cpp
+++ b/src/pistachioflow/entry/planning_faults_test.cpp
@@ -194,4 +194,31 @@
   REQUIRE(Entry.ReservedWorkers == std::vector<std::string>{});
 }
 
+TEST_CASE("a gang on two racks replaces a refused member on any rack") {
+  // Its rack is taken for good, so that it leaves it after a while. A worker
+  // refuses its second task; stopping the gang would cost that time again.
+  SimulatedCluster Simulated;
+  for (std::size_t Index = 0; Index < 8; ++Index)
+    Simulated.addWorker("w" + std::to_string(Index),
+                        "r" + std::to_string(Index / 2));
+  StepSpec Lasting = makeStep(1, 8, false);
+  Lasting.LongRunning = true;
+  for (std::size_t Rack = 0; Rack < 4; ++Rack) {
+    Lasting.DataRack = "r" + std::to_string(Rack);
+    Simulated.submit(jobId(100 + Rack), Lasting, 2);
+  }
+  Simulated.play(Duration{1'000});
+  Simulated.trouble("w3").RefusesUntil = Simulated.now() + Duration{10'000};
+  StepSpec Gang = makeStep(2, 8, true);
+  Gang.TightlyCoupled = GENERATE(true, false);
+  if (!Gang.TightlyCoupled)
+    Gang.DataRack = "r0";
+  Simulated.submit(jobId(1), Gang, 1);
+  Simulated.play(Duration{2'600});
+  Job &Submitted = *Simulated.Table->find(jobId(1));
+  const Unit &Entry = Submitted.Occurrences.at(0).Steps.front().Units.front();
+  REQUIRE(Entry.Members.size() == 2);
+  REQUIRE(Entry.allRunning());
+}
+
 } // namespace pistachioflow::testing
--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -490,7 +490,10 @@
       GENERATE(table<std::vector<std::string_view>, std::size_t>(
           {{{"r1", "r1"}, 2}, {{"r1", "r0"}, 0}}));
   std::vector<PlacementWorker> Workers = Free;
-  const StepSpec Step = makeStep(3, {1'000, 100, 8}, true, true);
+  const bool Tight = GENERATE(true, false);
+  StepSpec Step = makeStep(3, {1'000, 100, 8}, true, Tight);
+  if (!Tight)
+    Step.DataRack = "r1";
   REQUIRE(planReplacement(Workers, makeUnit(Step, 0), Racks) == Worker);
 }
 
