Don't let a last attempt block the tasks of its step

Seen: tasks of a step stay waiting beside idle workers on probation, for up to 7.5 s (a suspension and the probation after it), once a task of the step that is on its last attempt comes before them.

Cause: the tasks of a step count as identical, so that one that is blocked lets the round skip the others. A last attempt may not use workers on probation, the others may.

Evidence: 'a last attempt that waits does not block the tasks of its step' fails before ('0 == 2').

Change: they count as identical only if both or neither are on a last attempt.

Result: the test passes; entry_tests and sched_tests pass.

--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -84,7 +84,8 @@
       this->Plan.Blocked.push_back(Index);
       if (!Unit.Step->Gang && Unit.Priority > 0)
         this->LastBlocked = {Unit.Group, Unit.AcceptsAnyWorker,
-                             Unit.IgnoresReservations, this->isHeldBack(Index)};
+                             Unit.IgnoresReservations, Unit.LastAttempt,
+                             this->isHeldBack(Index)};
     }
     return std::move(this->Plan);
   }
@@ -95,6 +96,7 @@
     std::size_t Group = NoGroup;
     bool AcceptsAnyWorker = false;
     bool IgnoresReservations = false;
+    bool LastAttempt = false;
     bool HeldBack = false;
   };
 
@@ -103,7 +105,8 @@
   bool isBlockedWithGroup(const WaitingUnit &Unit) const {
     return Unit.Group == this->LastBlocked.Group &&
            Unit.AcceptsAnyWorker == this->LastBlocked.AcceptsAnyWorker &&
-           Unit.IgnoresReservations == this->LastBlocked.IgnoresReservations;
+           Unit.IgnoresReservations == this->LastBlocked.IgnoresReservations &&
+           Unit.LastAttempt == this->LastBlocked.LastAttempt;
   }
 
   bool isHeldBack(std::size_t Index) const {
--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -484,6 +484,18 @@
   REQUIRE(Plan.HeldBack.size() == Case.HeldBack);
 }
 
+TEST_CASE("a last attempt that waits does not block the tasks of its step") {
+  // It may not start on a worker on probation, which the others may.
+  std::vector<PlacementWorker> Workers = makeWorkers(2, 2);
+  for (PlacementWorker &Worker : Workers)
+    Worker.OnProbation = true;
+  const StepSpec Step = makeStep(1, {1'000, 100, 1}, false, false);
+  std::vector<WaitingUnit> Waiting(3, makeUnit(Step, 1));
+  Waiting[0].LastAttempt = true;
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, {}, {});
+  REQUIRE(Plan.Starts.size() == 2);
+}
+
 TEST_CASE("a member of a gang on several racks moves to any rack") {
   const std::vector<PlacementWorker> Free = makeWorkers(4, 2);
   const auto [Racks, Worker] =
