--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -86,8 +86,9 @@
   bool Suspect = false;
   bool LastAttempt = false; ///< One more failure fails its job.
   /// Preferences have kept it from free workers for long enough: it takes any
-  /// worker that it fits on.
+  /// worker that it fits on and that is not reserved for a gang ahead of it.
   bool AcceptsAnyWorker = false;
+  bool IgnoresReservations = false; ///< And those that are reserved as well.
 };
 
 /// A unit that has been placed. Its texts are views of the caller's.
@@ -149,11 +150,13 @@
 bool mayHost(const PlacementWorker &Worker, const WaitingUnit &Unit);
 
 /// Chooses another worker for a gang member that its first worker refused. \p
-/// OtherRacks are the racks of the other members. Deprioritized workers are
-/// excluded: a second refusal would delay the gang more than a new placement.
+/// Racks are those of all members as they were placed: a gang that stands on
+/// one rack stays there, one on several racks may use any. Deprioritized
+/// workers are excluded: a second refusal would delay the gang more than a new
+/// placement.
 std::optional<std::size_t>
 planReplacement(std::span<PlacementWorker> Workers, const WaitingUnit &Gang,
-                std::span<const std::string_view> OtherRacks);
+                std::span<const std::string_view> Racks);
 
 /// Decides where units of \p Waiting start, in the given order, and which of \p
 /// Placed are preempted.
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -249,17 +249,21 @@
   }
 }
 
-/// Whether preferences have kept a unit from free workers for long enough.
-bool acceptsAnyWorker(const PlanningView &View, const Unit &Waiting,
-                      bool SpareCapacity) {
+/// Notes whether preferences, and reservations for gangs, have kept a unit from
+/// free workers for long enough.
+void boundPreferences(const PlanningView &View, const Unit &Waiting,
+                      const SpareCapacity &Spare, WaitingUnit &Entry) {
   if (Waiting.HeldBackSince.Ms == 0)
-    return false;
+    return;
+  const StepSpec &Step = Waiting.spec();
   const std::int64_t ExpectedMs = View.Durations.expectedMs(
-      Waiting.ParentJob->Submission.Queue, Waiting.spec().EstimatedMs);
-  const Duration Limit =
-      preferenceLimit({ExpectedMs, View.RemotePenalty,
-                       Waiting.spec().LongRunning, SpareCapacity});
-  return View.Now - Waiting.HeldBackSince >= Limit;
+      Waiting.ParentJob->Submission.Queue, Step.EstimatedMs);
+  const PreferenceInputs Inputs{ExpectedMs, View.RemotePenalty,
+                                Step.LongRunning,
+                                Spare.sparesFor(Step.TaskResources)};
+  const Duration HeldBack = View.Now - Waiting.HeldBackSince;
+  Entry.AcceptsAnyWorker = HeldBack >= preferenceLimit(Inputs);
+  Entry.IgnoresReservations = HeldBack >= reservationLimit(Inputs);
 }
 
 /// Explains the waits that are due for a log line. \p After are the workers
@@ -330,6 +334,8 @@
   constexpr std::int64_t MinRemainingMs = 100;
   /// Later than this, the run has slowed down.
   constexpr std::int64_t MaxOverdueMs = 300;
+  if (Unit.spec().LongRunning)
+    return {NeverEnds, false};
   const std::int64_t RunMs = (View.Now - Unit.PlacedAt).Ms;
   std::int64_t ByProgress = 0;
   for (const Member &Peer : Unit.Members) {
@@ -360,7 +366,7 @@
       std::vector<std::string_view> Racks;
       for (const Member &Other : Unit->Members)
         if (const auto Link = View.Workers.find(Other.Worker);
-            Other.occupiesCapacity() && Link != View.Workers.end())
+            Link != View.Workers.end())
           Racks.push_back(rackOf(Link->second->Entry));
       const bool InTime = View.Now - Unit->PlacedAt <= MoveTimeout;
       const auto Worker =
@@ -399,15 +405,14 @@
   const std::vector<PlacedUnit> Placed = collectPlaced(View, Active, Workers);
   std::vector<WaitingUnit> Waiting;
   std::map<const StepState *, std::size_t> Groups;
-  std::map<std::string_view, bool> SpareCapacity;
+  std::map<std::string_view, SpareCapacity> SpareOf;
   for (const Unit *Unit : Units) {
     Waiting.push_back(describeWaiting(View, *Unit));
     const std::string_view Service = Waiting.back().Service;
-    const auto [Spare, Added] = SpareCapacity.try_emplace(Service);
+    const auto [Spare, Added] = SpareOf.try_emplace(Service);
     if (Added)
-      Spare->second = hasSpareCapacity(Workers, Service);
-    Waiting.back().AcceptsAnyWorker =
-        acceptsAnyWorker(View, *Unit, Spare->second);
+      Spare->second = spareCapacity(Workers, Service);
+    boundPreferences(View, *Unit, Spare->second, Waiting.back());
     const StepState *Step =
         &Unit->ParentJob->Occurrences.at(Unit->Occurrence).Steps[Unit->Step];
     Waiting.back().Group =
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -84,6 +84,7 @@
       this->Plan.Blocked.push_back(Index);
       if (!Unit.Step->Gang && Unit.Priority > 0)
         this->LastBlocked = {Unit.Group, Unit.AcceptsAnyWorker,
+                             Unit.IgnoresReservations, Unit.LastAttempt,
                              this->isHeldBack(Index)};
     }
     return std::move(this->Plan);
@@ -94,6 +95,8 @@
   struct BlockedStep {
     std::size_t Group = NoGroup;
     bool AcceptsAnyWorker = false;
+    bool IgnoresReservations = false;
+    bool LastAttempt = false;
     bool HeldBack = false;
   };
 
@@ -101,7 +104,9 @@
   /// same workers.
   bool isBlockedWithGroup(const WaitingUnit &Unit) const {
     return Unit.Group == this->LastBlocked.Group &&
-           Unit.AcceptsAnyWorker == this->LastBlocked.AcceptsAnyWorker;
+           Unit.AcceptsAnyWorker == this->LastBlocked.AcceptsAnyWorker &&
+           Unit.IgnoresReservations == this->LastBlocked.IgnoresReservations &&
+           Unit.LastAttempt == this->LastBlocked.LastAttempt;
   }
 
   bool isHeldBack(std::size_t Index) const {
@@ -157,22 +162,23 @@
   }
 
   /// Chooses free workers for a unit: those that it prefers, or else any that
-  /// it fits on if it accepts them. Notes a unit that its preferences hold
-  /// back.
+  /// it fits on if it accepts them. Notes a unit that preferences or
+  /// reservations hold back.
   std::optional<WorkerChoice>
   chooseNow(std::size_t Index, std::span<const std::string_view> Racks) {
     WaitingUnit Unit = this->Waiting[Index];
-    const bool AcceptsAnyWorker = std::exchange(Unit.AcceptsAnyWorker, false);
+    Unit.AcceptsAnyWorker = Unit.IgnoresReservations = false;
     auto Preferred =
         chooseWorkers(this->Workers, Unit, Racks, &PlacementWorker::FreeNow);
     if (Preferred || (Racks.empty() && !this->AnyReserved))
       return Preferred;
-    Unit.AcceptsAnyWorker = true;
-    auto Anywhere =
-        chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow);
-    if (!Anywhere || AcceptsAnyWorker)
-      return Anywhere;
-    this->Plan.HeldBack.push_back(Index);
+    if (this->Waiting[Index].AcceptsAnyWorker)
+      if (auto Accepted = chooseWorkers(this->Workers, this->Waiting[Index], {},
+                                        &PlacementWorker::FreeNow))
+        return Accepted;
+    Unit.AcceptsAnyWorker = Unit.IgnoresReservations = true;
+    if (chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow))
+      this->Plan.HeldBack.push_back(Index);
     return std::nullopt;
   }
 
@@ -202,12 +208,34 @@
       }
     }
     if (Unit.Priority == 0)
-      this->preemptFor(Index, Racks);
-    else if (Unit.TaskCount > 1)
+      return this->tryUrgent(Index, Racks);
+    if (Unit.TaskCount > 1)
       this->reserveFor(Index, Racks);
     return false;
   }
 
+  bool mayReclaim(const WaitingUnit &Unit) const {
+    return Unit.ReclaimDue &&
+           this->Guarantees.covers(Unit.Workspace, acceleratorsOf(Unit));
+  }
+
+  /// Preempts for a unit of the highest priority. Guaranteed work has a limit
+  /// in time and its racks are a preference: where they yield nothing, it takes
+  /// workers of any rack. Returns whether the unit starts now.
+  bool tryUrgent(std::size_t Index, std::span<const std::string_view> Racks) {
+    const WaitingUnit &Unit = this->Waiting[Index];
+    const bool Planned = this->preemptFor(Index, Racks);
+    if (Planned || Racks.empty() || !this->mayReclaim(Unit))
+      return false;
+    if (auto Chosen =
+            chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow)) {
+      this->start(Index, std::move(*Chosen));
+      return true;
+    }
+    this->preemptFor(Index, {});
+    return false;
+  }
+
   /// Starts a unit with a claim on its claimed workers, or on others in place
   /// of those that are not released yet. Otherwise the claim stays held.
   bool tryHeld(std::size_t Index) {
@@ -276,6 +304,8 @@
 
   void start(std::size_t Index, WorkerChoice Chosen) {
     const WaitingUnit &Unit = this->Waiting[Index];
+    if (this->isHeldBack(Index))
+      this->Plan.HeldBack.pop_back();
     occupy(this->Workers, Chosen, countedDemand(*Unit.Step));
     for (const std::size_t Worker : Chosen) {
       this->Workers[Worker].Occupied = true;
@@ -343,25 +373,24 @@
     Worker.FreeAfterExpectedEnds = Worker.FreeAfterExpectedEnds + PerTask;
   }
 
-  void preemptFor(std::size_t Index, std::span<const std::string_view> Racks) {
+  /// Returns whether preemptions make room for the unit.
+  bool preemptFor(std::size_t Index, std::span<const std::string_view> Racks) {
     const WaitingUnit &Unit = this->Waiting[Index];
-    const std::int64_t Needed = acceleratorsOf(Unit);
-    const bool MayReclaim =
-        Unit.ReclaimDue && this->Guarantees.covers(Unit.Workspace, Needed);
     const std::span<const bool> StoppingNow(this->Stopping.get(),
                                             this->Placed.size());
     const std::optional<Preemption> Planned =
         planPreemption({this->Workers, this->Placed, StoppingNow, Unit,
-                        MayReclaim, this->Guarantees},
+                        this->mayReclaim(Unit), this->Guarantees},
                        Racks);
     if (!Planned)
-      return;
+      return false;
     for (const Victim &Stopped : Planned->Victims)
       this->stop(Stopped, Index);
     occupy(this->Workers, Planned->Chosen, countedDemand(*Unit.Step));
-    this->Guarantees.claim(Unit.Workspace, Needed);
+    this->Guarantees.claim(Unit.Workspace, acceleratorsOf(Unit));
     if (!Planned->Victims.empty())
       this->Plan.Claims.push_back({Index, Planned->Chosen});
+    return true;
   }
 
   void stop(const Victim &Stopped, std::size_t Beneficiary) {
@@ -392,17 +421,17 @@
 
 std::optional<std::size_t>
 planReplacement(std::span<PlacementWorker> Workers, const WaitingUnit &Gang,
-                std::span<const std::string_view> OtherRacks) {
-  const bool OneRack = Gang.Step->TightlyCoupled && !OtherRacks.empty() &&
-                       std::ranges::count(OtherRacks, OtherRacks.front()) ==
-                           std::ranges::ssize(OtherRacks);
-  const bool NearData =
-      !Gang.Step->DataRack.empty() &&
-      std::ranges::find(OtherRacks, Gang.Step->DataRack) != OtherRacks.end();
+                std::span<const std::string_view> Racks) {
+  const bool StaysOnRack =
+      !Racks.empty() &&
+      std::ranges::count(Racks, Racks.front()) == std::ranges::ssize(Racks);
+  const bool OneRack = Gang.Step->TightlyCoupled && StaysOnRack;
+  const bool NearData = !Gang.Step->DataRack.empty() && StaysOnRack &&
+                        Racks.front() == Gang.Step->DataRack;
   for (const CandidateWorker &Entry :
        findCandidates(Workers, Gang, &PlacementWorker::FreeNow)) {
     const std::string_view Rack = Workers[Entry.Worker].Rack;
-    const bool Allowed = (!OneRack || Rack == OtherRacks.front()) &&
+    const bool Allowed = (!OneRack || Rack == Racks.front()) &&
                          (!NearData || Rack == Gang.Step->DataRack);
     if (Allowed && !Entry.Avoided)
       return Entry.Worker;
