sched: a task that lasts is not stuck by a tail of 0 ms

Cause: checkProgress read the fifth entry of a row as processor time also where it is the tail of response times, and 0 as idle.

Evidence: "a task that lasts may report a tail of 0 ms for ever" failed on the code without the fix: `StopRequested != Step.LongRunning ... true != true`.

Fix: only tasks that end are checked for idleness.

"only a run that uses no CPU is stopped as stuck" is unchanged.

--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -117,7 +117,8 @@
   Entry.ReportedAt = Now;
   // Gangs make progress only once all members are running.
   Unit.FullyStarted = Unit.FullyStarted || Task.ProgressPercent > 0;
-  const bool Idle = Task.CpuMilli == 0 &&
+  // Tasks that last report the tail of their response times instead.
+  const bool Idle = Task.CpuMilli == 0 && !Unit.spec().LongRunning &&
                     Unit.spec().TaskResources.MilliCores > 0 &&
                     !Unit.spec().FillsIdleCpu;
   if (!Idle || !Unit.allRunning() || Unit.Done) {
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -369,6 +369,19 @@
           Case.Stopped);
 }
 
+TEST_CASE("a task that lasts may report a tail of 0 ms for ever") {
+  StepSpec Step = makeStep(1, false);
+  Step.LongRunning = GENERATE(false, true);
+  TableFixture Fixture({Step});
+  Fixture.startAll();
+  for (int Look = 0; Look < 4; ++Look) {
+    Fixture.Now = Fixture.Now + Duration{800};
+    Fixture.report("w0", {{Fixture.task(0, 0), 1, {}, 100, 0}}, {});
+  }
+  REQUIRE(Fixture.Table.membersOn("w0")[0].member().StopRequested !=
+          Step.LongRunning);
+}
+
 TEST_CASE("a gang is stuck only when all of its members are idle") {
   const auto OtherMilli = GENERATE(std::int64_t{0}, std::int64_t{700});
   TableFixture Fixture({makeStep(2, true)});
