entry: refused members of a gang share the limit of their step

Cause: planMoves planned each move from the state before the round, so that the second did not count the first.

Evidence: "refused members of a gang move within the limit of their step" failed on the code without the fix in 2 of 4 rows: `2 == 1` moves to one free worker, and `"w0" != "w0"` with two.

Fix: the moves of the plan that belong to the same step count for its limit.

Not measured with processes.

--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -332,6 +332,25 @@
   return {{std::max(ByProgress, MinRemainingMs)}, ByProgress > -MaxOverdueMs};
 }
 
+namespace {
+
+/// Counts the moves of this plan for the limit of \p Moving's step.
+void addPlannedMoves(const MovePlan &Plan, const Unit &Moving,
+                     WaitingUnit &Gang) {
+  if (Moving.spec().MaxPerWorker <= 0)
+    return;
+  for (const MovePlan::Move &Move : Plan.Moves) {
+    const Unit &Other = *Move.Ref.ParentUnit;
+    const bool SameStep = Other.ParentJob == Moving.ParentJob &&
+                          Other.Occurrence == Moving.Occurrence &&
+                          Other.Step == Moving.Step;
+    if (SameStep)
+      Gang.GroupWorkers.push_back(Move.Place.Worker);
+  }
+}
+
+} // namespace
+
 MovePlan planMoves(const PlanningView &View) {
   MovePlan Plan;
   std::vector<PlacementWorker> Workers;
@@ -341,7 +360,8 @@
         continue;
       if (Workers.empty())
         Workers = collectWorkers(View);
-      const WaitingUnit Gang = describeWaiting(View, *Unit);
+      WaitingUnit Gang = describeWaiting(View, *Unit);
+      addPlannedMoves(Plan, *Unit, Gang);
       std::vector<std::string_view> Racks;
       for (const Member &Other : Unit->Members)
         if (const auto Link = View.Workers.find(Other.Worker);
--- a/src/pistachioflow/entry/planning_workers_test.cpp
+++ b/src/pistachioflow/entry/planning_workers_test.cpp
@@ -77,4 +77,26 @@
   REQUIRE(planRound(Fixture.view()).Starts.size() == (Case.Used ? 1U : 0U));
 }
 
+TEST_CASE("refused members of a gang move within the limit of their step") {
+  const auto [MaxPerWorker, FreeWorkers, Moves] =
+      GENERATE(table<std::int64_t, int, std::size_t>(
+          {{0, 1, 2}, {1, 1, 1}, {1, 2, 2}, {2, 1, 2}}));
+  CAPTURE(MaxPerWorker, FreeWorkers);
+  PlanningFixture Fixture;
+  Fixture.addJob(3, true, MaxPerWorker);
+  Unit &Gang = *Fixture.Table.placeable(Now).front();
+  Fixture.Table.place(Gang, {{{"x0", 1}, {"x1", 1}, {"x2", 1}}}, Now);
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    Fixture.Table.markSent({&Gang, Index}, Gang.Run, Now);
+  Fixture.Table.confirm(Gang.taskName(0), Gang.Run, Now);
+  for (std::size_t Index = 1; Index < 3; ++Index)
+    Fixture.Table.refuse(Gang.taskName(Index), Gang.Run, Now, {30}, "no_room");
+  for (int Index = 0; Index < FreeWorkers; ++Index)
+    Fixture.addWorker("w" + std::to_string(Index), 1, 1);
+  const MovePlan Plan = planMoves(Fixture.view());
+  REQUIRE(Plan.Moves.size() == Moves);
+  if (MaxPerWorker == 1 && Plan.Moves.size() == 2)
+    REQUIRE(Plan.Moves[0].Place.Worker != Plan.Moves[1].Place.Worker);
+}
+
 } // namespace pistachioflow
