Count a crash where another worker answers at the address

Cause: there, a crashed worker comes back under another id at the same address, so that calls to it are answered by a worker that they did not mean. Such a loss counted as a suspicion only, which ends after 20 s, since nothing returns under the earlier id.

Change: a worker that had not announced to leave, and at whose address another one answers, has certainly ended under what ran there: it counts as crashed.

Test: 'replaced by other workers' in the table of losses; three such losses give the job up.

--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -275,6 +275,11 @@
   void workerLost(std::string_view Worker, Instant Now,
                   std::string_view Reason);
 
+  /// As workerLost(), for a worker whose process certainly exists no longer
+  /// although it had not announced to leave: it has crashed under its members.
+  void workerCrashed(std::string_view Worker, Instant Now, std::int64_t WallMs,
+                     std::string_view Reason);
+
   /// Returns the members that occupy capacity on a worker.
   std::span<const MemberRef> membersOn(std::string_view Worker) const;
 
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -306,8 +306,12 @@
     return;
   if (Term->Table.membersOn(Worker->Id).empty())
     return;
-  Term->Table.workerLost(Worker->Id, Now,
-                         Replaced ? "replaced" : "lease_ended");
+  if (Replaced && !Worker->Entry.Draining)
+    Term->Table.workerCrashed(Worker->Id, Now, this->Time.wall().Ms,
+                              "replaced");
+  else
+    Term->Table.workerLost(Worker->Id, Now,
+                           Replaced ? "replaced" : "lease_ended");
   this->requestRound();
 }
 
--- a/src/pistachioflow/sched/job_table_crash_test.cpp
+++ b/src/pistachioflow/sched/job_table_crash_test.cpp
@@ -21,6 +21,7 @@
   Late,            ///< It crashes under a run that is no longer young.
   EarlyAfterLease, ///< As Early, but the lease ends before it returns.
   CutOff,          ///< It is lost, and returns as the same process.
+  Replaced,        ///< Another worker answers at its address.
 };
 
 /// A job table whose workers crash.
@@ -79,6 +80,10 @@
     }
     if (How == Loss::Unconfirmed)
       this->Table.stopAccepted(Task, Started.Run, this->Now);
+    if (How == Loss::Replaced) {
+      this->Table.workerCrashed(Worker, this->Now, WallMs, "replaced");
+      return;
+    }
     if (How == Loss::EarlyAfterLease || How == Loss::CutOff)
       this->Table.workerLost(Worker, this->Now, "lease_ended");
     this->restart(Worker, How == Loss::CutOff ? FirstIncarnation
@@ -107,6 +112,8 @@
       Row{"mixed", {Early, Unconfirmed, Early}, false},
       Row{"mixed, too many", {Early, Unconfirmed, Early, Late}, true},
       Row{"lost first", {EarlyAfterLease, Early, EarlyAfterLease}, true},
+      Row{"replaced by other workers", {Replaced, Replaced, Replaced}, true},
+      Row{"replaced and lost", {Replaced, EarlyAfterLease}, false},
       Row{"cut off", {CutOff, CutOff, CutOff, CutOff, CutOff}, false},
       Row{"never sent",
           {BeforeSent, BeforeSent, BeforeSent, BeforeSent, BeforeSent},
--- a/src/pistachioflow/sched/job_table_crashes.cpp
+++ b/src/pistachioflow/sched/job_table_crashes.cpp
@@ -53,6 +53,22 @@
   this->markDirty(Unit);
 }
 
+void JobTable::workerCrashed(std::string_view Worker, Instant Now,
+                             std::int64_t WallMs, std::string_view Reason) {
+  constexpr std::int64_t NoIncarnation = 0;
+  const std::span<const MemberRef> Members = this->membersOn(Worker);
+  for (const MemberRef &Ref :
+       std::vector<MemberRef>(Members.begin(), Members.end())) {
+    const bool Current = Ref.Index < Ref.ParentUnit->Members.size() &&
+                         Ref.member().Worker == Worker;
+    const bool Sent = Current && Ref.member().Phase != MemberPhase::Planned &&
+                      Ref.member().Phase != MemberPhase::Refused;
+    if (Sent && !hasEnded(Ref.ParentUnit->ParentJob->Phase))
+      this->recordCrash(*Ref.ParentUnit, Ref.Index, NoIncarnation, Now, WallMs);
+  }
+  this->workerLost(Worker, Now, Reason);
+}
+
 void JobTable::settleSuspicions(std::string_view Worker,
                                 std::int64_t IncarnationStartMs, Instant Now,
                                 std::int64_t WallMs) {
