--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -58,17 +58,6 @@
          Worker.UnresponsiveSince.Ms != 0 || Worker.Ends.awaitAcknowledgement();
 }
 
-/// Whether, as far as is known, the worker answers and is the process that
-/// started at \p IncarnationStartMs.
-inline bool answersAs(const WorkerLink &Worker,
-                      std::int64_t IncarnationStartMs) {
-  const std::int64_t ListedStartMs = Worker.Entry.IncarnationStartMs;
-  const bool ListedAsOther =
-      Worker.Listed && ListedStartMs > 0 && ListedStartMs != IncarnationStartMs;
-  return Worker.UnresponsiveSince.Ms == 0 && !ListedAsOther &&
-         Worker.IncarnationStartMs == IncarnationStartMs;
-}
-
 /// Whether the entry is of the incarnation that last answered: labels and
 /// capacity of another one may differ. Where either names none, it counts as
 /// the same.
@@ -78,6 +67,15 @@
          Worker.Entry.IncarnationStartMs == Worker.IncarnationStartMs;
 }
 
+/// Whether, as far as is known, the worker answers and is the process that
+/// started at \p IncarnationStartMs.
+inline bool answersAs(const WorkerLink &Worker,
+                      std::int64_t IncarnationStartMs) {
+  const bool ListedAsOther = Worker.Listed && !describesIncarnation(Worker);
+  return Worker.UnresponsiveSince.Ms == 0 && !ListedAsOther &&
+         Worker.IncarnationStartMs == IncarnationStartMs;
+}
+
 /// Returns a worker's rack: the last of its labels, which are its kind and
 /// rack.
 /// The result points into \p Entry.
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -64,7 +64,6 @@
     // The entry of an earlier incarnation may name another capacity.
     Worker.Usable = Link->Listed && Link->Synced && !Link->Entry.Draining &&
                     answersAs(*Link, Link->IncarnationStartMs) &&
-                    describesIncarnation(*Link) &&
                     !isSuspended(Link->Trust, View.Now);
     Worker.Deprioritized = Link->AvoidedUntil > View.Now;
     Worker.ReservedForUrgent = Link->ReservedForUrgentUntil > View.Now;
