Give each daemon of a test ports of its own

The fixture asks the system for a free port and closes it; the system may offer it again, and two daemons of one fleet got the same. Ports are handed out once now.

--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <utility>
 
 #include <fcntl.h>
@@ -26,9 +27,16 @@
 const std::string Prefix = "/q/";
 
 /// Returns a port that is free now; the daemon binds it later.
+/// Returns a port that is free now and that this process has not chosen before.
+/// The system may offer one again as soon as it is closed.
 unsigned short freePort(asio::io_context &Io) {
-  asio::ip::tcp::acceptor Probe(Io, parseEndpoint("127.0.0.1:0"));
-  return Probe.local_endpoint().port();
+  static std::set<unsigned short> Chosen;
+  while (true) {
+    asio::ip::tcp::acceptor Probe(Io, parseEndpoint("127.0.0.1:0"));
+    const unsigned short Port = Probe.local_endpoint().port();
+    if (Chosen.insert(Port).second)
+      return Port;
+  }
 }
 
 Json desiredState() {
