Renew the leases of workers whose ends are not stored yet

While the store was down, tasks were stopped and started again on every worker on which another task had ended meanwhile.

Cause: the owner polls a worker again only once the reported ends are stored. Without the store it waited without end, sent no hold, and the leases of the worker's other tasks lapsed after max_hold_ms.

The owner now waits for one hold at most and polls again. It acknowledges no end that is not stored, so that the worker reports the same ends again; those that are applied already are dropped by their number.

--- a/include/pistachioflow/platform_standin/task_simulator.hpp
+++ b/include/pistachioflow/platform_standin/task_simulator.hpp
@@ -79,6 +79,8 @@
   /// Returns how often \p Task ended as done, counting acknowledged ends only.
   std::int64_t doneCount(const std::string &Task) const;
   std::int64_t runningCount() const;
+  /// Returns a worker that runs \p Task; empty: none does.
+  std::string workerOf(const std::string &Task) const;
   std::int64_t startCount() const { return this->StartedRuns; }
 
 private:
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -198,8 +198,8 @@
         std::max(Worker->LastAcknowledgedEnd, Order.AcknowledgedEnd);
     this->holdAnswered(Term, Worker, Answer.Report, SentAt);
     // The worker answers every hold at once while ends are unacknowledged, so
-    // the next hold waits until they are stored.
-    while (Term->Active && Worker->LastAppliedEnd > Worker->LastRecordedEnd)
+    // the next hold waits until they are stored, or until leases need it.
+    if (Worker->LastAppliedEnd > Worker->LastRecordedEnd)
       co_await Worker->Wake.wait(HoldWait);
   }
   Worker->HoldLoopRunning = false;
@@ -227,9 +227,14 @@
   Worker->ClockOffsetMs = Report.ClockMs - Now.Ms;
   Worker->Synced = true;
   Worker->UnresponsiveSince = {};
+  // An end is reported until it is acknowledged.
+  WorkerReport News = Report;
+  std::erase_if(News.Ended, [&](const EndedRun &End) {
+    return End.Number <= Worker->LastAppliedEnd;
+  });
   const std::vector<RunningTask> Unwanted = Term->Table.applyReport(
-      Worker->Id, Report, SentAt, Now, this->Time.wall().Ms);
-  for (const EndedRun &End : Report.Ended)
+      Worker->Id, News, SentAt, Now, this->Time.wall().Ms);
+  for (const EndedRun &End : News.Ended)
     Worker->LastAppliedEnd = std::max(Worker->LastAppliedEnd, End.Number);
   for (const RunningTask &Task : Unwanted) {
     logEvent(LogLevel::Warning, "unwanted_run",
--- a/src/pistachioflow/platform_standin/task_simulator.cpp
+++ b/src/pistachioflow/platform_standin/task_simulator.cpp
@@ -260,6 +260,13 @@
   return Entry == this->DoneCounts.end() ? 0 : Entry->second;
 }
 
+std::string TaskSimulator::workerOf(const std::string &Task) const {
+  for (const auto &[Id, Worker] : this->Workers)
+    if (Worker.ActiveRuns.contains(Task))
+      return Id;
+  return {};
+}
+
 std::int64_t TaskSimulator::runningCount() const {
   std::int64_t Count = 0;
   for (const auto &[Id, Target] : this->Workers)
