Bound the leases that an owner grants without the store

Now no lease ends later than 12 s after the newest append that the store has acknowledged to the owner, nor later than 7 s after the newest sign that no newer epoch has fenced enough workers: that append, or holds that all but a quarter of the workers with runs have accepted. A successor waits 12 s for workers that do not answer, or 7 s from the moment on which more than a quarter of the workers have shown it the runs of the epoch before (plus 2% and 0.3 s). docs/design/leases.md states the inequalities, the constants, what it costs and what was weighed. max_hold_ms below 3,000 is rejected when the settings are read, since such leases end before they can be renewed.

Why it holds: the successor's claim ends the old owner's acknowledged appends, and the workers that answer the successor refuse the old owner, which then misses more answers than it disregards.

--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -13,6 +13,7 @@
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/entry/journal_writer.hpp"
+#include "pistachioflow/entry/lease_bounds.hpp"
 #include "pistachioflow/entry/planning.hpp"
 #include "pistachioflow/entry/topic_follower.hpp"
 #include "pistachioflow/platform/instance_settings.hpp"
@@ -37,7 +38,8 @@
   ~Dispatcher();
 
   /// Begins an ownership term. The caller reloads the journal next.
-  void begin(std::int64_t Epoch, std::shared_ptr<JournalWriter> Writer);
+  void begin(std::int64_t Epoch, std::shared_ptr<JournalWriter> Writer,
+             ClaimTimes Claim);
 
   /// Ends the ownership term: nothing more is sent to workers.
   void end();
@@ -82,6 +84,11 @@
                     const WorkerReport &Report, Instant SentAt);
   void holdFailed(const TermPtr &Term, const WorkerPtr &Worker,
                   OrderOutcome Outcome);
+  Instant leaseEnd(const OwnershipTerm &Term, Duration Wanted,
+                   Instant Now) const;
+  void boundEarlierLeases(OwnershipTerm &Term) const;
+  void noteFirstAnswer(OwnershipTerm &Term, const WorkerLink &Worker) const;
+  void noteRunsGivenUp(OwnershipTerm &Term, const WorkerLink &Worker) const;
   void updateFromEvent(OwnershipTerm &Term, const TableEvent &Event);
 
   asio::io_context &Io;
--- a/include/pistachioflow/entry/journal_writer.hpp
+++ b/include/pistachioflow/entry/journal_writer.hpp
@@ -71,6 +71,10 @@
   /// append or probe. A rejected append is an answer.
   Instant failingSince() const { return this->FailingSince; }
 
+  /// When the newest append that the store has acknowledged was first sent; 0:
+  /// none. The store knew no newer epoch of this writer then.
+  Instant storedAt() const { return this->StoredAt; }
+
 private:
   struct PendingWrite;
 
@@ -93,6 +97,7 @@
   std::deque<std::shared_ptr<PendingWrite>> Queue;
   std::vector<std::shared_ptr<PendingWrite>> Batch;
   Instant FailingSince;
+  Instant StoredAt;
   Instant CheckedAt;
   Duration LastAppendTime{0}; ///< Of the newest append that was answered.
   bool AppendLoopRunning = false;
--- a/include/pistachioflow/entry/ownership.hpp
+++ b/include/pistachioflow/entry/ownership.hpp
@@ -12,6 +12,7 @@
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/entry/journal_writer.hpp"
+#include "pistachioflow/entry/lease_bounds.hpp"
 #include "pistachioflow/platform/store_client.hpp"
 #include "pistachioflow/sched/records.hpp"
 
@@ -111,6 +112,8 @@
 
   bool isOwner() const { return this->Writer != nullptr; }
   std::int64_t epoch() const { return this->View.NewestRecord.Epoch; }
+  /// Times of this instance's newest claim. Precondition: isOwner().
+  ClaimTimes claimTimes() const { return this->Claim; }
   /// The writer of the owner's records. Precondition: isOwner().
   std::shared_ptr<JournalWriter> writer() { return this->Writer; }
 
@@ -130,6 +133,8 @@
   std::mt19937_64 Random;
   std::shared_ptr<JournalWriter> Writer;
   std::int64_t ClaimedEpoch = 0;
+  ClaimTimes Claim;
+  Instant EpochSeenAt; ///< When the newest epoch was first read.
   std::int64_t ClaimSequence = 0;
   std::int64_t HeartbeatCount = 0;
   bool HeartbeatInProgress = false;
--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -30,7 +30,9 @@
   bool NeedsImmediateHold = false;
   std::int64_t IncarnationStartMs = 0;
   std::int64_t ClockOffsetMs = 0; ///< Its clock minus this process's.
-  Instant LeaseEnds;         ///< No run lasts beyond this without a renewal.
+  Instant LeaseEnds; ///< No run lasts beyond this without a renewal.
+  /// When the newest hold that it accepted in this term was sent; 0: none.
+  Instant LastAcceptedAt;
   Instant UnresponsiveSince; ///< 0 while it responds.
   /// Until then, small tasks of lower priorities prefer other workers.
   Instant ReservedForUrgentUntil;
--- a/include/pistachioflow/platform/instance_settings.hpp
+++ b/include/pistachioflow/platform/instance_settings.hpp
@@ -9,6 +9,10 @@
 
 namespace pistachioflow {
 
+/// Shortest setting of the longest lease. A lease has to outlive a hold that
+/// renews it and its repetition; docs/design/leases.md.
+constexpr Duration MinMaxLease{3'000};
+
 /// Settings that the platform gives an instance. Defaults apply to fields that
 /// are left out.
 struct InstanceSettings {
--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -2,7 +2,9 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,10 +27,19 @@
   Duration Delay{0};          ///< Before each answer.
 };
 
+/// A cut between one owner with some workers, and everybody else. Each epoch
+/// belongs to one daemon, so that the epoch of a call names its caller.
+struct Partition {
+  std::int64_t OwnerEpoch = 0;
+  std::set<std::string> Workers; ///< On the owner's side.
+};
+
 /// Faults of the simulated workers; none by default.
 struct WorkerFaults {
   double DelayedStartShare = 0; ///< Share of starts delayed, unanswered.
   Duration StartDelay{1'500};
+  /// Calls across it are neither carried out nor answered.
+  std::optional<Partition> Cut;
 };
 
 /// Serves a simulated platform (store and workers) on loopback, for tests and
@@ -69,6 +80,9 @@
   HttpResponse serveNewest(const std::string &Query) const;
   asio::awaitable<HttpResponse> serveWorker(std::string Id,
                                             HttpRequest Request);
+  asio::awaitable<HttpResponse> serveReachable(std::string Id,
+                                               HttpRequest Request);
+  bool isCutOff(const std::string &Id, std::int64_t CallerEpoch) const;
   asio::awaitable<HttpResponse> servePoll(std::string Id, std::string Body);
   asio::awaitable<HttpResponse> serveStart(std::string Id, std::string Body);
   asio::awaitable<void> advanceLoop();
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -95,12 +95,16 @@
 Dispatcher::~Dispatcher() = default;
 
 void Dispatcher::begin(std::int64_t Epoch,
-                       std::shared_ptr<JournalWriter> Writer) {
+                       std::shared_ptr<JournalWriter> Writer,
+                       ClaimTimes Claim) {
   this->end();
   this->CurrentTerm = std::make_shared<OwnershipTerm>();
   this->CurrentTerm->Epoch = Epoch;
   this->CurrentTerm->Writer = std::move(Writer);
   this->CurrentTerm->StartedAt = this->Time.monotonic();
+  this->CurrentTerm->ClaimSentAt = Claim.SentAt;
+  this->CurrentTerm->Earlier.GainedAt = this->CurrentTerm->StartedAt;
+  this->CurrentTerm->Earlier.PreviousEpochSeenAt = Claim.PreviousEpochSeenAt;
   entryMetrics().OwnershipsGained.add();
   entryMetrics().OwnerEpoch.set(Epoch);
   logEvent(LogLevel::Info, "ownership_gained", {{"epoch", Epoch}});
@@ -201,9 +205,9 @@
           Term.Table.restorePhase(Name, *Decoded);
       } else if (Kind == RecordKind::Unit) {
         if (const auto Decoded = decodeRecord<UnitRecord>(Value))
-          Term.Table.restoreUnit(Name, *Decoded,
-                                 Now + maxLocalLease(this->Settings.MaxLease),
-                                 Now);
+          Term.Table.restoreUnit(
+              Name, *Decoded,
+              earlierLeasesEnd(this->Settings.MaxLease, Term.Earlier), Now);
       } else {
         Term.Table.addCancellation(Name, WallMs, Now);
       }
@@ -227,16 +231,15 @@
   this->buildTable(Term);
   // Runs that an earlier owner started may be on workers that are no longer
   // listed.
-  const Instant LeaseEnds =
-      this->Time.monotonic() + maxLocalLease(this->Settings.MaxLease);
   for (const Unit *Entry : Term.Table.active())
     for (const Member &PlacedMember : Entry->Members) {
       WorkerPtr &Worker = Term.Workers[PlacedMember.Worker];
       if (!Worker)
         Worker = std::make_shared<WorkerLink>(this->Io, PlacedMember.Worker);
-      Worker->LeaseEnds = LeaseEnds;
       Worker->UnresponsiveSince = this->Time.monotonic();
     }
+  Term.OccupiedAtStart = Term.Workers.size();
+  this->boundEarlierLeases(Term);
   for (const JournalRecord &Entry : std::exchange(Term.WorkerEntries, {}))
     this->applyWorkerEntry(Entry);
   spawnCoroutine(this->Io, "periodic", this->periodicLoop(this->CurrentTerm));
--- a/src/pistachioflow/entry/dispatcher_ownership_term.hpp
+++ b/src/pistachioflow/entry/dispatcher_ownership_term.hpp
@@ -1,27 +1,25 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "pistachioflow/entry/dispatcher.hpp"
+#include "pistachioflow/entry/lease_bounds.hpp"
 #include "pistachioflow/entry/topic_follower.hpp"
 
 namespace pistachioflow {
 
-/// Returns the longest that a lease of \p Granted may last on this process's
-/// clock: a worker's clock may be 2% slow, and a run whose lease has expired
-/// takes a moment to end.
-inline Duration maxLocalLease(Duration Granted) {
-  constexpr std::int64_t SlowClockPercent = 102;
-  constexpr std::int64_t WholePercent = 100;
-  constexpr Duration Margin{300};
-  return Duration{Granted.Ms * SlowClockPercent / WholePercent} + Margin;
-}
+/// Whether a start order for a task on \p Worker may have been sent, and its
+/// run may last.
+bool mayHaveRuns(const JobTable &Table, std::string_view Worker);
 
 /// The state of one ownership term.
 struct Dispatcher::OwnershipTerm {
@@ -38,6 +36,24 @@
   std::set<std::pair<std::string, std::int64_t>> PendingStops; ///< Task, run.
   std::shared_ptr<TopicFollower> WorkerListFollower;
   Instant StartedAt;
+
+  /// \name Leases; docs/design/leases.md
+  /// @{
+  struct GivenUpRuns {
+    Instant At;
+    Instant LastAcceptedAt; ///< Of the worker.
+  };
+  Instant ClaimSentAt;
+  std::map<std::string, GivenUpRuns> GivenUp; ///< By worker.
+  EarlierLeases Earlier;
+  std::size_t OccupiedAtStart = 0; ///< Workers with runs in the journal.
+  std::size_t ShownAtStart = 0;    ///< Of these: showed such a run.
+  /// @}
+
+  /// When the store surely knew no newer epoch.
+  Instant storedAt() const {
+    return std::max(this->ClaimSentAt, this->Writer->storedAt());
+  }
 };
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -100,7 +100,8 @@
           Io, Store, Time, this->Name, this->Settings.MilliCores,
           static_cast<std::size_t>(this->Settings.MaxStoreRequestBytes),
           {[this](std::int64_t Epoch) {
-             this->QueueDispatcher.begin(Epoch, this->QueueOwnership.writer());
+             this->QueueDispatcher.begin(Epoch, this->QueueOwnership.writer(),
+                                         this->QueueOwnership.claimTimes());
              this->Journal.setReadPause({0});
              this->Journal.reload();
            },
--- a/src/pistachioflow/entry/journal_writer.cpp
+++ b/src/pistachioflow/entry/journal_writer.cpp
@@ -134,11 +134,13 @@
 asio::awaitable<void>
 JournalWriter::appendLoop(std::shared_ptr<JournalWriter> Self) {
   bool MaybeStored = false;
+  Instant FirstSentAt;
   std::vector<JournalRecord> Records;
   while (!this->Queue.empty() || !this->Batch.empty()) {
     if (this->Batch.empty()) {
       Records = this->nextBatch();
       MaybeStored = false;
+      FirstSentAt = this->Time.monotonic();
     }
     Producer AppendProducer{this->Id, this->Epoch, this->Sequence};
     std::string Topic(JournalTopic);
@@ -155,6 +157,7 @@
           static_cast<double>(this->LastAppendTime.Ms));
       this->noteAnswer(Answer.Outcome);
       ++this->Sequence;
+      this->StoredAt = FirstSentAt;
       this->resolveBatch(WriteOutcome::Stored);
       continue;
     }
--- a/src/pistachioflow/entry/ownership.cpp
+++ b/src/pistachioflow/entry/ownership.cpp
@@ -111,7 +111,11 @@
 }
 
 asio::awaitable<void> Ownership::claim() {
-  this->ClaimedEpoch = this->View.NewestRecord.Epoch + 1;
+  const std::int64_t NextEpoch = this->View.NewestRecord.Epoch + 1;
+  // An earlier attempt without an answer may be the one that is accepted.
+  if (NextEpoch != this->ClaimedEpoch)
+    this->Claim.SentAt = this->Time.monotonic();
+  this->ClaimedEpoch = NextEpoch;
   this->ClaimSequence = static_cast<std::int64_t>(
       this->Random() % static_cast<std::uint64_t>(SequenceRange));
   const OwnershipRecord Record{this->ClaimedEpoch, this->Instance, 0, false,
@@ -147,6 +151,7 @@
   this->updateVacancy(Now);
   if (!NewEpoch)
     return;
+  this->Claim.PreviousEpochSeenAt = std::exchange(this->EpochSeenAt, Now);
   if (this->isOwner())
     this->lose("newer_epoch");
   const bool ClaimedByUs = Record.Instance == this->Instance &&
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -10,24 +10,15 @@
 
 namespace {
 
-/// Longest wait of a hold, the long poll that renews a worker's leases. The
-/// worker answers early when a run ends; otherwise leases are renewed this
-/// often, several times within their length.
-constexpr Duration HoldWait{1'500};
-/// Added to a hold's wait for its timeout.
-constexpr Duration HoldAnswerTime{1'000};
 /// Timeout of a start or stop, which workers answer within a few milliseconds.
 constexpr Duration OrderTimeout{400};
 constexpr Duration OrderRetryPause{50};
 constexpr int StartAttempts = 3;
-/// Lease of a start. The hold that follows renews it well within this time.
-constexpr Duration StartLease{3'000};
 /// A worker's clock that went back by more than drift and delays explain shows
 /// that the worker has restarted.
 constexpr Duration ClockTolerance{2'000};
 /// Workers tell each other of a gang's end, within a few milliseconds.
 constexpr Duration GangEndMargin{500};
-constexpr Duration HoldRetryPause{150};
 constexpr Duration RefusalRetryPause{30};
 /// Other workers are preferred for this long after a refused or unanswered
 /// start.
@@ -58,9 +49,10 @@
   bool MaybeStarted = false;
   for (int Attempt = 0; Attempt < StartAttempts; ++Attempt) {
     const Instant Now = this->Time.monotonic();
-    Order.LeaseUntilMs = Worker->clockAt(Now) + StartLease.Ms;
+    const Instant LeaseEnd = this->leaseEnd(*Term, StartLease, Now);
+    Order.LeaseUntilMs = Worker->clockAt(LeaseEnd);
     Worker->LeaseEnds =
-        std::max(Worker->LeaseEnds, Now + maxLocalLease(StartLease));
+        std::max(Worker->LeaseEnds, Now + maxLocalLease(LeaseEnd - Now));
     const std::shared_ptr<WorkerClient> Client = Worker->Client;
     const OrderAnswer Answer = co_await Client->start(Order, OrderTimeout);
     if (!Term->Active)
@@ -173,12 +165,16 @@
     // expire.
     const bool Renews = Worker->Synced && Worker->UnresponsiveSince.Ms == 0;
     const bool Waits = Renews && Occupied && !Worker->NeedsImmediateHold;
-    if (Renews) {
-      Order.LeaseUntilMs = Worker->clockAt(SentAt) + this->Settings.MaxLease.Ms;
-      Worker->LeaseEnds = SentAt + maxLocalLease(this->Settings.MaxLease);
+    const Instant LeaseEnd =
+        this->leaseEnd(*Term, this->Settings.MaxLease, SentAt);
+    const Duration Lease = LeaseEnd - SentAt;
+    if (Renews && Lease.Ms > 0) {
+      Order.LeaseUntilMs = Worker->clockAt(LeaseEnd);
+      Worker->LeaseEnds =
+          std::max(Worker->LeaseEnds, SentAt + maxLocalLease(Lease));
     }
     if (Waits)
-      Order.WaitMs = HoldWait.Ms;
+      Order.WaitMs = holdWait(Lease).Ms;
     const Duration Timeout = Duration{Order.WaitMs} + HoldAnswerTime;
     Worker->NeedsImmediateHold = false;
     const std::shared_ptr<WorkerClient> Client = Worker->Client;
@@ -200,7 +196,7 @@
     // The worker answers every hold at once while ends are unacknowledged, so
     // the next hold waits until they are stored, or until leases need it.
     if (Worker->LastAppliedEnd > Worker->LastRecordedEnd)
-      co_await Worker->Wake.wait(HoldWait);
+      co_await Worker->Wake.wait(holdWait(Lease));
   }
   Worker->HoldLoopRunning = false;
 }
@@ -216,7 +212,11 @@
   const bool Restarted =
       Report.IncarnationStartMs != Worker->IncarnationStartMs;
   if (Restarted) {
+    const bool HadRuns = mayHaveRuns(Term->Table, Worker->Id);
     Term->Table.workerRestarted(Worker->Id, Report, Now);
+    const bool AnsweredBefore = Worker->LastAcceptedAt.Ms != 0;
+    if (HadRuns && (AnsweredBefore || !mayHaveRuns(Term->Table, Worker->Id)))
+      this->noteRunsGivenUp(*Term, *Worker);
     Worker->IncarnationStartMs = Report.IncarnationStartMs;
     Worker->LastAppliedEnd = 0;
     Worker->LastRecordedEnd = 0;
@@ -242,6 +242,13 @@
     spawnCoroutine(this->Io, "stop_task",
                    this->stopTask(Term, Worker, Task.Task, Task.Run));
   }
+  const bool FirstAnswer = Worker->LastAcceptedAt.Ms == 0;
+  Worker->LastAcceptedAt = SentAt;
+  // Only this owner's leases can be renewed from now on.
+  Worker->LeaseEnds =
+      std::min(Worker->LeaseEnds, Now + maxLocalLease(this->Settings.MaxLease));
+  if (FirstAnswer)
+    this->noteFirstAnswer(*Term, *Worker);
   this->requestRound();
 }
 
@@ -254,10 +261,13 @@
     logEvent(LogLevel::Warning, "worker_unresponsive",
              {{"worker", Worker->Id}, {"outcome", toString(Outcome)}});
   }
+  const bool HadRuns = mayHaveRuns(Term->Table, Worker->Id);
   // Members of a gang that lost a member take as long to end as stopped ones.
   Term->Table.workerUnresponsive(
       Worker->Id, Now - this->Settings.StopTimeout - GangEndMargin,
       Worker->LeaseEnds, Now);
+  if (HadRuns && !mayHaveRuns(Term->Table, Worker->Id))
+    this->noteRunsGivenUp(*Term, *Worker);
   if (Term->Table.dirty())
     this->requestRound();
   // Another worker answers at its address, so this worker no longer exists.
@@ -266,6 +276,8 @@
     return;
   if (Term->Table.membersOn(Worker->Id).empty())
     return;
+  if (mayHaveRuns(Term->Table, Worker->Id))
+    this->noteRunsGivenUp(*Term, *Worker);
   Term->Table.workerLost(Worker->Id, Now,
                          Replaced ? "replaced" : "lease_ended");
   this->requestRound();
--- a/src/pistachioflow/platform/codecs_test.cpp
+++ b/src/pistachioflow/platform/codecs_test.cpp
@@ -102,6 +102,21 @@
   REQUIRE(Settings.error().Details.size() == 2);
 }
 
+TEST_CASE("settings with leases too short to be renewed are rejected") {
+  const auto [MaxLeaseMs, Valid] = GENERATE(
+      table<std::int64_t, bool>({{2'999, false}, {3'000, true}, {0, false}}));
+  const std::string Bounds =
+      R"("bounds":{"max_hold_ms":)" + std::to_string(MaxLeaseMs) + "}";
+  const auto Settings = decodeInstanceSettings(
+      replaced(GoodSettings, R"("bounds":{"grace_period_s":6})", Bounds));
+  CAPTURE(MaxLeaseMs);
+  REQUIRE(Settings.has_value() == Valid);
+  if (Valid)
+    REQUIRE(Settings.value().MaxLease == Duration{MaxLeaseMs});
+  else
+    REQUIRE(Settings.error().Details.front().Place == "$.bounds.max_hold_ms");
+}
+
 TEST_CASE("queues, keys and guarantees of a desired state are decoded") {
   const std::string Text =
       R"({"version":7,"routes":[)"
--- a/src/pistachioflow/platform/instance_settings.cpp
+++ b/src/pistachioflow/platform/instance_settings.cpp
@@ -11,6 +11,7 @@
 
 constexpr JsonBounds SettingsBounds{std::size_t{1} << 18U, 8, true};
 constexpr IntegerRange DurationRangeMs{1, 600'000};
+constexpr IntegerRange MaxLeaseRangeMs{MinMaxLease.Ms, DurationRangeMs.Max};
 constexpr IntegerRange SizeRangeBytes{1'024, std::int64_t{1} << 30U};
 constexpr double MaxDurationS = 86'400;
 constexpr std::int64_t MsPerSecond = 1'000;
@@ -35,7 +36,8 @@
 }
 
 void readBounds(ObjectReader Reader, InstanceSettings &Settings) {
-  Settings.MaxLease = readMs(Reader, "max_hold_ms", Settings.MaxLease);
+  Settings.MaxLease = {
+      Reader.integer("max_hold_ms", MaxLeaseRangeMs, Settings.MaxLease.Ms)};
   Settings.StopTimeout =
       readMs(Reader, "stop_timeout_ms", Settings.StopTimeout);
   Settings.GangTimeout =
--- a/src/pistachioflow/platform_standin/platform_server.cpp
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -303,8 +303,30 @@
                     {"end_offset", this->Store.endOffset(Topic)}});
 }
 
+bool PlatformServer::isCutOff(const std::string &Id,
+                              std::int64_t CallerEpoch) const {
+  const std::optional<Partition> &Cut = this->WorkerBehaviour.Cut;
+  return Cut && Cut->Workers.contains(Id) != (CallerEpoch == Cut->OwnerEpoch);
+}
+
 asio::awaitable<HttpResponse> PlatformServer::serveWorker(std::string Id,
                                                           HttpRequest Request) {
+  const Json Body = Json::parse(Request.Body, nullptr, false);
+  const std::int64_t CallerEpoch =
+      Body.is_object() ? Body.value("fencing_token", std::int64_t{0}) : 0;
+  if (this->isCutOff(Id, CallerEpoch))
+    co_await pauseFor(this->Io, NoAnswerDelay);
+  HttpResponse Response;
+  Response.Status = 503;
+  if (!this->isCutOff(Id, CallerEpoch))
+    Response = co_await this->serveReachable(Id, std::move(Request));
+  if (this->isCutOff(Id, CallerEpoch))
+    co_await pauseFor(this->Io, NoAnswerDelay);
+  co_return Response;
+}
+
+asio::awaitable<HttpResponse>
+PlatformServer::serveReachable(std::string Id, HttpRequest Request) {
   if (Request.Target == "/run-start")
     co_return co_await this->serveStart(std::move(Id), std::move(Request.Body));
   if (Request.Target == "/hold")
--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -158,13 +158,21 @@
   }
 }
 
-int Fleet::ownerIndex() const {
+std::optional<OwnershipRecord> Fleet::ownership() const {
   const auto Newest =
       this->Platform.Store.newest(std::string(JournalTopic), "o/", 1);
   if (Newest.empty() || Newest.front().Record.Key != ownershipKey())
-    return -1;
-  const auto Ownership =
-      decodeRecord<OwnershipRecord>(Newest.front().Record.Value);
+    return std::nullopt;
+  return decodeRecord<OwnershipRecord>(Newest.front().Record.Value);
+}
+
+std::int64_t Fleet::ownerEpoch() const {
+  const std::optional<OwnershipRecord> Ownership = this->ownership();
+  return Ownership ? Ownership->Epoch : 0;
+}
+
+int Fleet::ownerIndex() const {
+  const std::optional<OwnershipRecord> Ownership = this->ownership();
   for (std::size_t Index = 0; Ownership && Index < this->Members.size();
        ++Index)
     if (Ownership->Instance.starts_with(this->Members[Index]->Name + "/"))
--- a/tests/platform/fleet.hpp
+++ b/tests/platform/fleet.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,8 @@
   /// Returns the index of the member that owns the queues according to the
   /// journal, or -1.
   int ownerIndex() const;
+  /// Returns the epoch of that owner, or 0.
+  std::int64_t ownerEpoch() const;
 
   /// Submits a job to \p Member and retries with the next members until one
   /// answers 2xx or \p Attempts are used up.
@@ -91,6 +94,7 @@
   }
 
 private:
+  std::optional<OwnershipRecord> ownership() const;
   void writeSettings(const FleetMember &Member) const;
 
   // Declared first, so that it is destroyed after the sockets that use it.
