--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -12,6 +12,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/entry/journal_state.hpp"
 #include "pistachioflow/entry/journal_writer.hpp"
 #include "pistachioflow/entry/lease_bounds.hpp"
 #include "pistachioflow/entry/planning.hpp"
@@ -46,9 +47,9 @@
 
   /// \name Events of the follower of the journal
   /// @{
-  void journalReset();
+  /// Takes the whole journal. A term that has begun starts to work with it.
+  void journalLoaded(const TopicRecords &Journal);
   void apply(const JournalRecord &Record);
-  void journalCaughtUp();
   /// @}
 
   /// Schedules a scheduling round shortly. Calls before it starts share it.
@@ -59,9 +60,13 @@
   using TermPtr = std::shared_ptr<OwnershipTerm>;
   using WorkerPtr = std::shared_ptr<WorkerLink>;
 
-  void buildTable(OwnershipTerm &Term);
+  JournalTimes journalTimes() const;
+  void startWork(const TopicRecords &Journal);
+  void adoptWorkers();
   void followWorkerList();
   void applyWorkerEntry(const JournalRecord &Record);
+  void listWorker(const std::string &Id, WorkerEntry Entry);
+  void unlistWorker(const std::string &Id, std::string_view Reason);
   void unlistWorkers();
   void runRound();
   PlanningView planningView(OwnershipTerm &Term, Instant Now) const;
@@ -69,7 +74,6 @@
   void sendStops(const TermPtr &Term);
   void preemptOnDrainingWorkers(OwnershipTerm &Term);
   void moveRefusedMembers(OwnershipTerm &Term);
-  void reserveForUrgent(OwnershipTerm &Term);
   void verifyWorkers(OwnershipTerm &Term);
   void logEvents(OwnershipTerm &Term);
   void ensureHoldLoop(const TermPtr &Term, const WorkerPtr &Worker);
@@ -77,6 +81,8 @@
   asio::awaitable<void> flush(TermPtr Term);
   asio::awaitable<void> startMember(TermPtr Term, Unit *StartedUnit,
                                     std::size_t Index, std::int64_t Run);
+  asio::awaitable<bool> confirmIncarnation(TermPtr Term, WorkerPtr Worker,
+                                           std::int64_t IncarnationStartMs);
   asio::awaitable<void> stopTask(TermPtr Term, WorkerPtr Worker,
                                  std::string Task, std::int64_t Run);
   asio::awaitable<void> holdLoop(TermPtr Term, WorkerPtr Worker);
--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -1,51 +1,25 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/entry/duration_model.hpp"
 #include "pistachioflow/entry/worker_link.hpp"
 #include "pistachioflow/sched/desired_state.hpp"
 #include "pistachioflow/sched/job_table.hpp"
 #include "pistachioflow/sched/placement.hpp"
+#include "pistachioflow/sched/wait_reason.hpp"
 
 namespace pistachioflow {
 
 using WorkerLinks =
     std::map<std::string, std::shared_ptr<WorkerLink>, std::less<>>;
 
-/// Predicts task durations for each queue: blends observed durations with
-/// callers' estimates, weighted by the accuracy of each. Thread safety: none.
-class DurationModel {
-public:
-  /// Adds the duration of a run that ended as done without a checkpoint.
-  void learn(const std::string &Queue, std::int64_t EstimatedMs,
-             std::int64_t ActualMs);
-
-  /// Returns the expected duration of a task.
-  std::int64_t expectedMs(const std::string &Queue,
-                          std::int64_t EstimatedMs) const;
-
-private:
-  /// Mean and variance of logarithms.
-  struct LogStatistics {
-    double Mean = 0;
-    double SquaredDeviations = 0;
-    double Count = 0;
-
-    void add(double Value);
-    double variance() const;
-  };
-  struct QueueStatistics {
-    LogStatistics Actual;
-    LogStatistics Ratio; ///< Actual over estimated.
-  };
-  std::map<std::string, QueueStatistics> Queues;
-};
-
 /// Inputs of a placement round.
 struct PlanningView {
   JobTable &Table;
@@ -56,7 +30,8 @@
   /// Guaranteed work that has waited this long may preempt work of its own
   /// priority.
   Duration ReclaimAfter;
-  Duration StopTimeout; ///< A worker ends a stopped run within this time.
+  Duration StopTimeout;       ///< A worker ends a stopped run within this time.
+  double RemotePenalty = 1.0; ///< Slowdown factor off the preferred rack.
 };
 
 /// Start of a unit: one place for each task.
@@ -83,12 +58,20 @@
   std::vector<std::string> Workers;
 };
 
+/// A unit that has waited for long, and why it was not placed.
+struct LongWait {
+  Unit *Waiting = nullptr;
+  WaitReason Reason = WaitReason::Capacity;
+};
+
 struct PlanningResult {
   std::vector<UnitPlacement> Starts;
   std::vector<UnitPreemption> Preemptions;
   std::vector<UnitClaim> Claims;
   std::vector<Unit *> DroppedClaims; ///< Waiting units that lose their claim.
   std::vector<UnitReservation> Reservations;
+  std::vector<Unit *> HeldBack;    ///< Kept from free workers by preferences.
+  std::vector<LongWait> LongWaits; ///< Those that are due for a log line.
   std::size_t Waiting = 0;
 };
 
@@ -104,12 +87,19 @@
       Unplaceable;
 };
 
+/// The remaining time of a task that runs until its job is cancelled.
+inline constexpr Duration NeverEnds{std::numeric_limits<std::int64_t>::max()};
+
 /// Expected time to the end of a run.
 struct RemainingTime {
   Duration Span;
   bool FromProgress = false; ///< Otherwise derived from DurationModel.
 };
 
+/// Returns what is free on a worker now: what its entry shows, less the runs of
+/// members and unwanted runs. Negative if the worker has shrunk.
+Resources freeCapacity(const JobTable &Table, const WorkerLink &Worker);
+
 /// Predicts the end of a placed unit from reported progress, or else from the
 /// durations of such tasks.
 RemainingTime remainingTime(const PlanningView &View, const Unit &Unit);
@@ -126,10 +116,18 @@
 /// load. Changes nothing. Thread safety: none.
 MovePlan planMoves(const PlanningView &View);
 
+/// Reserves the workers that run urgent work for the next urgent gang, by
+/// WorkerLink::ReservedForUrgentUntil. Thread safety: none.
+void reserveForUrgent(const PlanningView &View);
+
 /// Ranks the waiting units and plans their placement. Changes nothing. Thread
 /// safety: none.
 PlanningResult planRound(const PlanningView &View);
 
+/// Carries out the decisions of a round in the table that it was planned from.
+/// Thread safety: none.
+void applyPlan(JobTable &Table, const PlanningResult &Plan, Instant Now);
+
 /// Returns the terms in force for a job: those of its queue, or those stored
 /// with the job if the queue no longer exists.
 const QueueTerms &termsOf(const DesiredState &Desired, const Job &Job);
--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -7,6 +7,7 @@
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/entry/coroutines.hpp"
+#include "pistachioflow/entry/end_numbers.hpp"
 #include "pistachioflow/platform/worker_client.hpp"
 #include "pistachioflow/sched/worker.hpp"
 #include "pistachioflow/sched/worker_reliability.hpp"
@@ -37,15 +38,13 @@
   /// Until then, small tasks of lower priorities prefer other workers.
   Instant ReservedForUrgentUntil;
   Instant EarliestRemovalAt; ///< Set while it drains: not removed before this.
-  /// \name Numbers of ends of runs, counted by the worker
-  /// @{
-  std::int64_t LastAppliedEnd = 0;
-  std::int64_t LastRecordedEnd = 0;     ///< Its records are stored.
-  std::int64_t LastAcknowledgedEnd = 0; ///< The worker was told to forget it.
-  /// @}
+  EndNumbers Ends;           ///< Of its current incarnation.
+  /// Occupied by runs in its latest report that are unwanted: they are being
+  /// stopped and are in no job's members.
+  Resources UnwantedUse;
   Instant AvoidedUntil; ///< Other workers are preferred until then.
   WorkerReliability Trust;
-  Signal Wake; ///< Notified when LastRecordedEnd grows.
+  Signal Wake; ///< Notified when ends are recorded.
 
   /// The worker's clock at \p Now.
   std::int64_t clockAt(Instant Now) const {
@@ -58,8 +57,18 @@
 /// it answers, since nothing is placed on it before.
 inline bool needsHold(const WorkerLink &Worker, bool Occupied) {
   return !Worker.Synced || Worker.NeedsImmediateHold || Occupied ||
-         Worker.UnresponsiveSince.Ms != 0 ||
-         Worker.LastRecordedEnd > Worker.LastAcknowledgedEnd;
+         Worker.UnresponsiveSince.Ms != 0 || Worker.Ends.awaitAcknowledgement();
+}
+
+/// Whether, as far as is known, the worker answers and is the process that
+/// started at \p IncarnationStartMs.
+inline bool answersAs(const WorkerLink &Worker,
+                      std::int64_t IncarnationStartMs) {
+  const std::int64_t ListedStartMs = Worker.Entry.IncarnationStartMs;
+  const bool ListedAsOther =
+      Worker.Listed && ListedStartMs > 0 && ListedStartMs != IncarnationStartMs;
+  return Worker.UnresponsiveSince.Ms == 0 && !ListedAsOther &&
+         Worker.IncarnationStartMs == IncarnationStartMs;
 }
 
 /// Returns a worker's rack: the last of its labels, which are its kind and
--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <asio/awaitable.hpp>
@@ -25,6 +27,11 @@
   bool Unresponsive = false;  ///< Does nothing and does not answer.
   double LostAnswerShare = 0; ///< Share of appends done, but unanswered.
   Duration Delay{0};          ///< Before each answer.
+  Duration AppendDelay{0};    ///< Before an append is carried out.
+  /// Pages hold the bytes of keys as they are, also where JSON can't.
+  bool RawKeys = false;
+  std::size_t MaxAppendBytes = 0; ///< Larger appends get 413. 0: no limit.
+  bool WatchesSilent = false;     ///< Reads that wait get no records.
 };
 
 /// A cut between one owner with some workers, and everybody else. Each epoch
@@ -61,6 +68,26 @@
   /// Publishes the operators' configuration.
   void publish(const std::string &DesiredStateJson);
 
+  /// Drops every record of the journal but the newest of each key, and ends the
+  /// silence of watches.
+  void forgetHistory();
+
+  /// Writes the entries of all workers now, as it also does periodically.
+  void publishWorkers();
+
+  /// Writes any record into the list of workers, like another writer.
+  void putWorkerRecord(JournalRecord Record);
+
+  /// Returns the entry that a worker would write now. Precondition: there is a
+  /// worker \p Id, as for workerCalls().
+  std::string workerEntry(std::string_view Id) const;
+
+  /// Returns how many calls reached a worker's address.
+  std::int64_t workerCalls(std::string_view Id) const;
+
+  /// By worker: makes what is written instead of the worker's entry.
+  std::map<std::string, std::function<std::string(std::string)>, std::less<>>
+      OddEntries;
   StoreFaults StoreBehaviour;
   WorkerFaults WorkerBehaviour;
   LogStore Store;
@@ -72,6 +99,8 @@
     std::string Rack;
     std::unique_ptr<HttpServer> Server;
     std::int64_t Heartbeats = 0;
+    bool Listed = false; ///< The list of workers has its entry.
+    std::int64_t Calls = 0;
   };
 
   asio::awaitable<HttpResponse> serveStore(HttpRequest Request);
@@ -83,17 +112,19 @@
   asio::awaitable<HttpResponse> serveReachable(std::string Id,
                                                HttpRequest Request);
   bool isCutOff(const std::string &Id, std::int64_t CallerEpoch) const;
+  asio::awaitable<HttpResponse> serveOrder(std::string Id, HttpRequest Request);
   asio::awaitable<HttpResponse> servePoll(std::string Id, std::string Body);
   asio::awaitable<HttpResponse> serveStart(std::string Id, std::string Body);
   asio::awaitable<void> advanceLoop();
-  void publishWorkers();
+  void publishWorker(WorkerEndpoint &Endpoint);
+  void expireEntry(WorkerEndpoint &Endpoint);
+  std::string workerEntry(const WorkerEndpoint &Endpoint) const;
   bool chance(double Probability);
 
   asio::io_context &Io;
   const Clock &Time;
   HttpServer StoreServer;
   Signal RecordsAppended;
-  Resources Capacity;
   std::vector<WorkerEndpoint> WorkerEndpoints;
   std::mt19937_64 Random;
 };
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -49,6 +49,8 @@
   /// The group that an earlier round reserved it for; other units prefer other
   /// workers.
   std::size_t ReservedForGroup = NoGroup;
+  bool Occupied = false;          ///< Something runs on it.
+  bool HostsSuspect = false;      ///< A suspect has just begun to run on it.
   bool ReservedThisRound = false; ///< For a unit earlier in the order.
 };
 
@@ -78,7 +80,15 @@
   /// Prefers to wait for runs that are expected to end about as soon as a stop
   /// would end them.
   bool WaitsForExpectedEnds = false;
+  /// A worker has crashed under it. It prefers empty workers, and other units
+  /// prefer workers without it, so that the next crash shows its cause and ends
+  /// little else.
+  bool Suspect = false;
   bool LastAttempt = false; ///< One more failure fails its job.
+  /// Preferences have kept it from free workers for long enough: it takes any
+  /// worker that it fits on and that is not reserved for a gang ahead of it.
+  bool AcceptsAnyWorker = false;
+  bool IgnoresReservations = false; ///< And those that are reserved as well.
 };
 
 /// A unit that has been placed. Its texts are views of the caller's.
@@ -132,17 +142,21 @@
   std::vector<std::size_t> DroppedClaims;
   std::vector<PlannedReservation> Reservations;
   std::vector<std::size_t> Blocked; ///< Indices of waiting units.
+  /// Waiting units that only their preferences keep from free workers.
+  std::vector<std::size_t> HeldBack;
 };
 
 /// Whether the worker may run tasks of the unit, regardless of free capacity.
 bool mayHost(const PlacementWorker &Worker, const WaitingUnit &Unit);
 
 /// Chooses another worker for a gang member that its first worker refused. \p
-/// OtherRacks are the racks of the other members. Deprioritized workers are
-/// excluded: a second refusal would delay the gang more than a new placement.
+/// Racks are those of all members as they were placed: a gang that stands on
+/// one rack stays there, one on several racks may use any. Deprioritized
+/// workers are excluded: a second refusal would delay the gang more than a new
+/// placement.
 std::optional<std::size_t>
 planReplacement(std::span<PlacementWorker> Workers, const WaitingUnit &Gang,
-                std::span<const std::string_view> OtherRacks);
+                std::span<const std::string_view> Racks);
 
 /// Decides where units of \p Waiting start, in the given order, and which of \p
 /// Placed are preempted.
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -28,14 +28,7 @@
 /// A job that failed on this many workers, and on none ran past EarlyFailure,
 /// is at fault rather than its workers.
 constexpr std::size_t FaultyJobWorkerCount = 3;
-/// Pause between reads of the list of workers. Every heartbeat changes an
-/// entry; reading several changes at once saves calls.
-constexpr Duration WorkerListReadPause{200};
 constexpr WriteTimeouts OwnerWriteTimeouts{{3'600'000}, {3'600'000}};
-/// Workers that ran urgent work stay reserved for it this long: about the time
-/// between two urgent gangs under load. A longer reservation leaves workers
-/// idle; without one, the next gang has to preempt smaller work first.
-constexpr Duration UrgentReservationTime{1'000};
 /// Part of the time limit for starting guaranteed work that is left for the
 /// start itself.
 constexpr Duration ReclaimStartMargin{1'000};
@@ -62,6 +55,9 @@
   case TableEvent::Kind::RunLost:
     Metrics.RunsLost.add();
     break;
+  case TableEvent::Kind::WorkerCrashed:
+    Metrics.RunsCrashed.add();
+    break;
   case TableEvent::Kind::JobEnded:
     Metrics.JobsEnded.add();
     Metrics.JobMs.record(ElapsedMs);
@@ -73,14 +69,22 @@
   case TableEvent::Kind::StopRequested:
   case TableEvent::Kind::Reserved:
   case TableEvent::Kind::ClaimReplaced:
+  case TableEvent::Kind::StillWaiting:
   case TableEvent::Kind::UnitDone:
     break;
   }
 }
 
-/// Keeps \p Follower alive until its last read has ended.
-asio::awaitable<void> followTopic(std::shared_ptr<TopicFollower> Follower) {
-  co_await Follower->run();
+void logCrash(const TableEvent &Event, std::int64_t Epoch) {
+  logEvent(LogLevel::Warning, "worker_crashed",
+           {{"id", Event.Subject},
+            {"run", Event.Run},
+            {"worker", Event.Worker},
+            {"evidence", Event.Detail},
+            {"crashes", Event.Crashes},
+            {"incarnation_before", Event.IncarnationBefore},
+            {"incarnation_after", Event.IncarnationAfter},
+            {"epoch", Epoch}});
 }
 
 } // namespace
@@ -111,35 +115,6 @@
   this->followWorkerList();
 }
 
-/// Reads the list of workers while the journal loads, since on a slow store
-/// each takes a while.
-void Dispatcher::followWorkerList() {
-  TopicObserver Observer;
-  const std::weak_ptr<OwnershipTerm> Weak = this->CurrentTerm;
-  Observer.Reset = [this, Weak] {
-    const TermPtr Term = Weak.lock();
-    if (!Term || !Term->Active)
-      return;
-    Term->WorkerEntries.clear();
-    this->unlistWorkers();
-  };
-  Observer.Apply = [this, Weak](const JournalRecord &Record) {
-    const TermPtr Term = Weak.lock();
-    if (!Term || !Term->Active)
-      return;
-    if (Term->Loading)
-      Term->WorkerEntries.push_back(Record);
-    else
-      this->applyWorkerEntry(Record);
-  };
-  Observer.CaughtUp = [this] { this->requestRound(); };
-  OwnershipTerm &Term = *this->CurrentTerm;
-  Term.WorkerListFollower = std::make_shared<TopicFollower>(
-      this->Io, this->Store, this->Time, std::string(WorkerTopic),
-      std::move(Observer), WorkerListReadPause);
-  spawnCoroutine(this->Io, "worker_list", followTopic(Term.WorkerListFollower));
-}
-
 void Dispatcher::end() {
   if (!this->CurrentTerm)
     return;
@@ -149,149 +124,6 @@
   this->CurrentTerm.reset();
 }
 
-void Dispatcher::journalReset() {
-  if (this->CurrentTerm && this->CurrentTerm->Loading)
-    this->CurrentTerm->JournalValues.clear();
-}
-
-void Dispatcher::apply(const JournalRecord &Record) {
-  if (!this->CurrentTerm)
-    return;
-  OwnershipTerm &Term = *this->CurrentTerm;
-  if (Term.Loading) {
-    if (Record.Value.empty())
-      Term.JournalValues.erase(Record.Key);
-    else
-      Term.JournalValues[Record.Key] = Record.Value;
-    return;
-  }
-  constexpr std::size_t PrefixSize = 2;
-  if (Record.Key.size() <= PrefixSize || Record.Value.empty())
-    return;
-  const std::string_view Id = std::string_view(Record.Key).substr(PrefixSize);
-  const Instant Now = this->Time.monotonic();
-  const std::int64_t WallMs = this->Time.wall().Ms;
-  const auto Kind = static_cast<RecordKind>(Record.Key.front());
-  if (Kind == RecordKind::Submission) {
-    if (auto Decoded = decodeRecord<SubmissionRecord>(Record.Value))
-      Term.Table.addSubmission(Id, std::move(*Decoded), Now, WallMs);
-    this->requestRound();
-  }
-  if (Kind == RecordKind::Cancellation) {
-    Term.Table.addCancellation(Id, WallMs, Now);
-    this->requestRound();
-  }
-}
-
-void Dispatcher::buildTable(OwnershipTerm &Term) {
-  constexpr std::size_t PrefixSize = 2;
-  // Records of later kinds refer to those of earlier ones.
-  constexpr std::array Order{RecordKind::Submission, RecordKind::JobPhase,
-                             RecordKind::Unit, RecordKind::Cancellation};
-  const Instant Now = this->Time.monotonic();
-  const std::int64_t WallMs = this->Time.wall().Ms;
-  for (const RecordKind Kind : Order) {
-    const std::string Prefix{static_cast<char>(Kind), '/'};
-    for (auto Entry = Term.JournalValues.lower_bound(Prefix);
-         Entry != Term.JournalValues.end() && Entry->first.starts_with(Prefix);
-         ++Entry) {
-      const auto Name = std::string_view(Entry->first).substr(PrefixSize);
-      const std::string &Value = Entry->second;
-      if (Kind == RecordKind::Submission) {
-        if (auto Decoded = decodeRecord<SubmissionRecord>(Value))
-          Term.Table.addSubmission(Name, std::move(*Decoded), Now, WallMs);
-      } else if (Kind == RecordKind::JobPhase) {
-        if (const auto Decoded = decodeRecord<JobPhaseRecord>(Value))
-          Term.Table.restorePhase(Name, *Decoded);
-      } else if (Kind == RecordKind::Unit) {
-        if (const auto Decoded = decodeRecord<UnitRecord>(Value))
-          Term.Table.restoreUnit(
-              Name, *Decoded,
-              earlierLeasesEnd(this->Settings.MaxLease, Term.Earlier), Now);
-      } else {
-        Term.Table.addCancellation(Name, WallMs, Now);
-      }
-    }
-  }
-  entryMetrics().StateLoadMs.record(
-      static_cast<double>((Now - Term.StartedAt).Ms));
-  logEvent(LogLevel::Info, "state_loaded",
-           {{"epoch", Term.Epoch},
-            {"records", static_cast<std::int64_t>(Term.JournalValues.size())},
-            {"jobs", static_cast<std::int64_t>(Term.Table.jobs().size())},
-            {"ms", (Now - Term.StartedAt).Ms}});
-  Term.JournalValues.clear();
-}
-
-void Dispatcher::journalCaughtUp() {
-  if (!this->CurrentTerm || !this->CurrentTerm->Loading)
-    return;
-  OwnershipTerm &Term = *this->CurrentTerm;
-  Term.Loading = false;
-  this->buildTable(Term);
-  // Runs that an earlier owner started may be on workers that are no longer
-  // listed.
-  for (const Unit *Entry : Term.Table.active())
-    for (const Member &PlacedMember : Entry->Members) {
-      WorkerPtr &Worker = Term.Workers[PlacedMember.Worker];
-      if (!Worker)
-        Worker = std::make_shared<WorkerLink>(this->Io, PlacedMember.Worker);
-      Worker->UnresponsiveSince = this->Time.monotonic();
-    }
-  Term.OccupiedAtStart = Term.Workers.size();
-  this->boundEarlierLeases(Term);
-  for (const JournalRecord &Entry : std::exchange(Term.WorkerEntries, {}))
-    this->applyWorkerEntry(Entry);
-  spawnCoroutine(this->Io, "periodic", this->periodicLoop(this->CurrentTerm));
-  this->requestRound();
-}
-
-void Dispatcher::unlistWorkers() {
-  for (auto &[Id, Worker] : this->CurrentTerm->Workers)
-    Worker->Listed = false;
-}
-
-void Dispatcher::applyWorkerEntry(const JournalRecord &Record) {
-  OwnershipTerm &Term = *this->CurrentTerm;
-  std::optional<WorkerEntry> Entry;
-  if (!Record.Value.empty())
-    Entry = decodeWorkerEntry(Record.Value);
-  const auto Existing = Term.Workers.find(Record.Key);
-  if (!Entry) {
-    if (Existing != Term.Workers.end() && Existing->second->Listed) {
-      Existing->second->Listed = false;
-      logEvent(LogLevel::Info, "worker_unlisted",
-               {{"worker", Record.Key},
-                {"reason", Record.Value.empty() ? "removed" : "malformed"}});
-    }
-    return;
-  }
-  WorkerPtr &Worker = Term.Workers[Record.Key];
-  if (!Worker)
-    Worker = std::make_shared<WorkerLink>(this->Io, Record.Key);
-  const bool NewAddress =
-      !Worker->Client || Worker->Entry.Address != Entry->Address;
-  if (NewAddress)
-    Worker->Client =
-        std::make_shared<WorkerClient>(this->Io, Record.Key, Entry->Address);
-  const bool Restarted =
-      Worker->Listed && Entry->IncarnationStartMs > 0 &&
-      Entry->IncarnationStartMs != Worker->IncarnationStartMs;
-  if (NewAddress || Restarted)
-    Worker->Synced = false;
-  if (Entry->Draining && !Worker->Entry.Draining)
-    logEvent(LogLevel::Info, "worker_draining",
-             {{"worker", Record.Key}, {"remaining_ms", Entry->RemainingMs}});
-  // The entry may be as old as the pause between two reads.
-  if (Entry->Draining && !Worker->Entry.Draining)
-    Worker->EarliestRemovalAt = this->Time.monotonic() +
-                                Duration{Entry->RemainingMs} -
-                                WorkerListReadPause;
-  Worker->Entry = std::move(*Entry);
-  Worker->Listed = true;
-  this->ensureHoldLoop(this->CurrentTerm, Worker);
-}
-
 void Dispatcher::requestRound() {
   if (this->RoundRequested || !this->CurrentTerm || this->CurrentTerm->Loading)
     return;
@@ -312,7 +144,7 @@
   Term->Table.unlockDueSteps(StartedAt, this->Time.wall().Ms);
   this->preemptOnDrainingWorkers(*Term);
   this->moveRefusedMembers(*Term);
-  this->reserveForUrgent(*Term);
+  reserveForUrgent(this->planningView(*Term, this->Time.monotonic()));
   this->placeUnits(*Term);
   this->sendStops(Term);
   this->logEvents(*Term);
@@ -331,7 +163,8 @@
           this->Durations,
           Now,
           ReclaimAfter,
-          this->Settings.StopTimeout};
+          this->Settings.StopTimeout,
+          this->Settings.RemotePenalty};
 }
 
 void Dispatcher::placeUnits(OwnershipTerm &Term) {
@@ -340,29 +173,7 @@
   entryMetrics().UnitsWaiting.set(
       static_cast<std::int64_t>(Plan.Waiting - Plan.Starts.size()));
   entryMetrics().Preemptions.add(Plan.Preemptions.size());
-  for (Unit *Entry : Plan.DroppedClaims)
-    Term.Table.dropClaim(*Entry, Now, "not_released");
-  for (const UnitClaim &Entry : Plan.Claims)
-    JobTable::claim(*Entry.Beneficiary, Entry.Claim);
-  for (const UnitPlacement &Start : Plan.Starts)
-    Term.Table.place(*Start.Placed, Start.Places, Now);
-  for (const UnitReservation &Entry : Plan.Reservations)
-    Term.Table.reserve(*Entry.Beneficiary, Entry.Workers, Now);
-  for (const UnitPreemption &Entry : Plan.Preemptions)
-    Term.Table.preempt(*Entry.Victim, Now, "for " + Entry.Beneficiary->name());
-}
-
-/// Reserves the workers that run urgent work for the next urgent gang.
-void Dispatcher::reserveForUrgent(OwnershipTerm &Term) {
-  const Instant Until = this->Time.monotonic() + UrgentReservationTime;
-  for (const Unit *Entry : Term.Table.active()) {
-    if (termsOf(this->Desired, *Entry->ParentJob).Priority != 0)
-      continue;
-    for (const Member &PlacedMember : Entry->Members)
-      if (const auto Worker = Term.Workers.find(PlacedMember.Worker);
-          PlacedMember.occupiesCapacity() && Worker != Term.Workers.end())
-        Worker->second->ReservedForUrgentUntil = Until;
-  }
+  applyPlan(Term.Table, Plan, Now);
 }
 
 void Dispatcher::moveRefusedMembers(OwnershipTerm &Term) {
@@ -451,14 +262,14 @@
     for (std::size_t Index = 0; Index < Entry->Members.size(); ++Index)
       if (Entry->Members[Index].Phase == MemberPhase::Planned)
         Starts.push_back({{Entry, Index}, Entry->Run});
-  std::vector<std::pair<WorkerPtr, std::int64_t>> Ends;
+  std::vector<std::pair<WorkerPtr, EndNumbers>> Ends;
   for (auto &[Id, Worker] : Term->Workers)
-    if (Worker->LastAppliedEnd > Worker->LastRecordedEnd)
-      Ends.emplace_back(Worker, Worker->LastAppliedEnd);
+    if (Worker->Ends.awaitRecords())
+      Ends.emplace_back(Worker, Worker->Ends);
   WriteOutcome Outcome = WriteOutcome::Stored;
   if (!Records.empty())
-    Outcome =
-        co_await Term->Writer->write(std::move(Records), OwnerWriteTimeouts);
+    Outcome = co_await Term->Writer->writeInParts(std::move(Records),
+                                                  OwnerWriteTimeouts);
   Term->Flushing = false;
   if (!Term->Active)
     co_return;
@@ -466,8 +277,8 @@
     this->OnFenced("store");
     co_return;
   }
-  for (auto &[Worker, Number] : Ends) {
-    Worker->LastRecordedEnd = std::max(Worker->LastRecordedEnd, Number);
+  for (const auto &[Worker, Stored] : Ends) {
+    markRecorded(Worker->Ends, Stored);
     Worker->Wake.notify();
     this->ensureHoldLoop(Term, Worker);
   }
@@ -523,10 +334,11 @@
 }
 
 void Dispatcher::logEvents(OwnershipTerm &Term) {
-  constexpr std::array Names{"placed",       "started",      "start_refused",
-                             "run_ended",    "run_vanished", "run_stuck",
-                             "stop_wanted",  "reserved",     "claim_replaced",
-                             "claim_failed", "unit_done",    "job_ended"};
+  constexpr std::array Names{"placed",         "started",      "start_refused",
+                             "run_ended",      "run_vanished", "worker_crashed",
+                             "run_stuck",      "stop_wanted",  "reserved",
+                             "claim_replaced", "claim_failed", "still_waiting",
+                             "unit_done",      "job_ended"};
   for (const TableEvent &Event : Term.Table.takeEvents()) {
     this->updateFromEvent(Term, Event);
     countEvent(Event);
@@ -534,6 +346,10 @@
         Names[static_cast<std::size_t>(Event.EventKind)];
     if (Event.EventKind == TableEvent::Kind::UnitDone)
       continue;
+    if (Event.EventKind == TableEvent::Kind::WorkerCrashed) {
+      logCrash(Event, Term.Epoch);
+      continue;
+    }
     logEvent(LogLevel::Info, Name,
              {{"id", Event.Subject},
               {"run", Event.Run},
--- a/src/pistachioflow/entry/dispatcher_ownership_term.hpp
+++ b/src/pistachioflow/entry/dispatcher_ownership_term.hpp
@@ -13,6 +13,7 @@
 
 #include "pistachioflow/entry/dispatcher.hpp"
 #include "pistachioflow/entry/lease_bounds.hpp"
+#include "pistachioflow/entry/rejected_entries.hpp"
 #include "pistachioflow/entry/topic_follower.hpp"
 
 namespace pistachioflow {
@@ -30,11 +31,11 @@
   std::shared_ptr<JournalWriter> Writer;
   JobTable Table;
   WorkerLinks Workers;
-  std::map<std::string, std::string> JournalValues; ///< By key; while loading.
   /// Entries of the list of workers, in order; while loading.
   std::vector<JournalRecord> WorkerEntries;
   std::set<std::pair<std::string, std::int64_t>> PendingStops; ///< Task, run.
   std::shared_ptr<TopicFollower> WorkerListFollower;
+  RejectedEntries RejectedWorkers;
   Instant StartedAt;
 
   /// \name Leases; docs/design/leases.md
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -1,10 +1,10 @@
 #include "pistachioflow/entry/planning.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <unordered_map>
 #include <utility>
 
+#include "pistachioflow/sched/preference.hpp"
 #include "pistachioflow/sched/queue_order.hpp"
 
 namespace pistachioflow {
@@ -18,6 +18,10 @@
 constexpr Duration MoveTimeout{1'000};
 /// After this long, other workers may become free sooner.
 constexpr Duration ReservationLifetime{3'000};
+/// Workers that ran urgent work stay reserved for it this long: about the time
+/// between two urgent gangs under load. A longer reservation leaves workers
+/// idle; without one, the next gang has to preempt smaller work first.
+constexpr Duration UrgentReservationTime{1'000};
 /// Added to the time that a stop takes for the lifetime of a claim: the order
 /// to stop, the report of the end and a repetition of either.
 constexpr Duration ClaimMargin{600};
@@ -30,6 +34,15 @@
   });
 }
 
+/// Whether a run on the worker has just begun that may crash it.
+bool hostsSuspect(const PlanningView &View, const WorkerLink &Link) {
+  const auto Members = View.Table.membersOn(Link.Id);
+  return std::ranges::any_of(Members, [&View](const MemberRef &Ref) {
+    return Ref.ParentUnit->mayCrashWorker() &&
+           View.Now - Ref.ParentUnit->PlacedAt < EarlyCrashWindow;
+  });
+}
+
 PlaceRecord placeOn(const PlanningView &View, std::string_view Worker) {
   return {std::string(Worker),
           View.Workers.find(Worker)->second->IncarnationStartMs};
@@ -45,16 +58,19 @@
     Worker.Rack = rackOf(Link->Entry);
     Worker.Labels = Link->Entry.Labels;
     Worker.Capacity = Link->Entry.Capacity;
-    Worker.FreeNow = Worker.Capacity - View.Table.occupiedCapacity(Id);
+    Worker.FreeNow = freeCapacity(View.Table, *Link);
     Worker.FreeAfterStops = Worker.FreeNow;
     Worker.FreeAfterExpectedEnds = Worker.FreeNow;
+    // The entry of an earlier incarnation may name another capacity.
     Worker.Usable = Link->Listed && Link->Synced && !Link->Entry.Draining &&
-                    Link->UnresponsiveSince.Ms == 0 &&
+                    answersAs(*Link, Link->IncarnationStartMs) &&
                     !isSuspended(Link->Trust, View.Now);
     Worker.Deprioritized = Link->AvoidedUntil > View.Now;
     Worker.ReservedForUrgent = Link->ReservedForUrgentUntil > View.Now;
     Worker.Verified = isVerified(Link->Trust, View.Now);
     Worker.OnProbation = isOnProbation(Link->Trust, View.Now);
+    Worker.Occupied = !View.Table.membersOn(Id).empty();
+    Worker.HostsSuspect = hostsSuspect(View, *Link);
     if (Worker.OnProbation)
       Worker.Usable = Worker.Usable && !hasNewRun(View, *Link);
     Workers.push_back(std::move(Worker));
@@ -190,6 +206,7 @@
   Entry.Step = &Waiting.spec();
   Entry.TaskCount = Waiting.TaskCount;
   Entry.AvoidedWorkers = &Waiting.FailedWorkers;
+  Entry.Suspect = Waiting.mayCrashWorker();
   // By then, stops would have ended instead.
   Entry.ClaimOverdue = !Waiting.Claim.Workers.empty() &&
                        View.Now - Waiting.Claim.At > View.StopTimeout;
@@ -232,6 +249,43 @@
   }
 }
 
+/// Notes whether preferences, and reservations for gangs, have kept a unit from
+/// free workers for long enough.
+void boundPreferences(const PlanningView &View, const Unit &Waiting,
+                      const SpareCapacity &Spare, WaitingUnit &Entry) {
+  if (Waiting.HeldBackSince.Ms == 0)
+    return;
+  const StepSpec &Step = Waiting.spec();
+  const std::int64_t ExpectedMs = View.Durations.expectedMs(
+      Waiting.ParentJob->Submission.Queue, Step.EstimatedMs);
+  const PreferenceInputs Inputs{ExpectedMs, View.RemotePenalty,
+                                Step.LongRunning,
+                                Spare.sparesFor(Step.TaskResources)};
+  const Duration HeldBack = View.Now - Waiting.HeldBackSince;
+  Entry.AcceptsAnyWorker = HeldBack >= preferenceLimit(Inputs);
+  Entry.IgnoresReservations = HeldBack >= reservationLimit(Inputs);
+}
+
+/// Explains the waits that are due for a log line. \p After are the workers
+/// after the decisions of \p Plan.
+std::vector<LongWait> explainLongWaits(const PlanningView &View,
+                                       const PlacementPlan &Plan,
+                                       std::span<Unit *const> Units,
+                                       std::span<const WaitingUnit> Waiting,
+                                       std::span<const PlacementWorker> After) {
+  std::vector<LongWait> Result;
+  std::vector<PlacementWorker> Before;
+  for (const std::size_t Index : Plan.Blocked) {
+    Unit *Entry = Units[Index];
+    if (!isWaitNoticeDue(Entry->ReadySince, Entry->WaitNotedAt, View.Now))
+      continue;
+    if (Before.empty())
+      Before = collectWorkers(View);
+    Result.push_back({Entry, explainWait(Before, After, Waiting[Index])});
+  }
+  return Result;
+}
+
 std::vector<Unit *> rankedWaiting(const PlanningView &View) {
   struct Ranked {
     QueueRank Rank;
@@ -264,56 +318,24 @@
 
 } // namespace
 
-void DurationModel::LogStatistics::add(double Value) {
-  this->Count += 1;
-  const double Before = Value - this->Mean;
-  this->Mean += Before / this->Count;
-  this->SquaredDeviations += Before * (Value - this->Mean);
-}
-
-double DurationModel::LogStatistics::variance() const {
-  // A wide prior keeps the weight of few samples low.
-  constexpr double PriorVariance = 1.0;
-  return (this->SquaredDeviations + PriorVariance) / (this->Count + 1.0);
-}
-
-void DurationModel::learn(const std::string &Queue, std::int64_t EstimatedMs,
-                          std::int64_t ActualMs) {
-  if (EstimatedMs <= 0 || ActualMs <= 0)
-    return;
-  QueueStatistics &Entry = this->Queues[Queue];
-  const double Actual = std::log(static_cast<double>(ActualMs));
-  Entry.Actual.add(Actual);
-  Entry.Ratio.add(Actual - std::log(static_cast<double>(EstimatedMs)));
-}
-
-std::int64_t DurationModel::expectedMs(const std::string &Queue,
-                                       std::int64_t EstimatedMs) const {
-  const auto Match = this->Queues.find(Queue);
-  if (Match == this->Queues.end() || EstimatedMs <= 0)
-    return EstimatedMs;
-  const QueueStatistics &Entry = Match->second;
-  const double ByEstimate =
-      std::log(static_cast<double>(EstimatedMs)) + Entry.Ratio.Mean;
-  const double ActualWeight = Entry.Ratio.variance();
-  const double EstimateWeight = Entry.Actual.variance();
-  const double Blend =
-      (ActualWeight * Entry.Actual.Mean + EstimateWeight * ByEstimate) /
-      (ActualWeight + EstimateWeight);
-  return static_cast<std::int64_t>(std::exp(Blend));
-}
-
 const QueueTerms &termsOf(const DesiredState &Desired, const Job &Job) {
   const QueueConfig *Queue = findQueueByName(Desired, Job.Submission.Queue);
   return Queue ? Queue->Terms : Job.Submission.Terms;
 }
 
+Resources freeCapacity(const JobTable &Table, const WorkerLink &Worker) {
+  return Worker.Entry.Capacity - Table.occupiedCapacity(Worker.Id) -
+         Worker.UnwantedUse;
+}
+
 RemainingTime remainingTime(const PlanningView &View, const Unit &Unit) {
   constexpr std::int64_t MinReliablePercent = 5;
   constexpr std::int64_t WholePercent = 100;
   constexpr std::int64_t MinRemainingMs = 100;
   /// Later than this, the run has slowed down.
   constexpr std::int64_t MaxOverdueMs = 300;
+  if (Unit.spec().LongRunning)
+    return {NeverEnds, false};
   const std::int64_t RunMs = (View.Now - Unit.PlacedAt).Ms;
   std::int64_t ByProgress = 0;
   for (const Member &Peer : Unit.Members) {
@@ -344,7 +366,7 @@
       std::vector<std::string_view> Racks;
       for (const Member &Other : Unit->Members)
         if (const auto Link = View.Workers.find(Other.Worker);
-            Other.occupiesCapacity() && Link != View.Workers.end())
+            Link != View.Workers.end())
           Racks.push_back(rackOf(Link->second->Entry));
       const bool InTime = View.Now - Unit->PlacedAt <= MoveTimeout;
       const auto Worker =
@@ -360,6 +382,18 @@
   return Plan;
 }
 
+void reserveForUrgent(const PlanningView &View) {
+  const Instant Until = View.Now + UrgentReservationTime;
+  for (const Unit *Entry : View.Table.active()) {
+    if (termsOf(View.Desired, *Entry->ParentJob).Priority != 0)
+      continue;
+    for (const Member &PlacedMember : Entry->Members)
+      if (const auto Worker = View.Workers.find(PlacedMember.Worker);
+          PlacedMember.occupiesCapacity() && Worker != View.Workers.end())
+        Worker->second->ReservedForUrgentUntil = Until;
+  }
+}
+
 PlanningResult planRound(const PlanningView &View) {
   PlanningResult Result;
   const std::vector<Unit *> Units = rankedWaiting(View);
@@ -371,8 +405,14 @@
   const std::vector<PlacedUnit> Placed = collectPlaced(View, Active, Workers);
   std::vector<WaitingUnit> Waiting;
   std::map<const StepState *, std::size_t> Groups;
+  std::map<std::string_view, SpareCapacity> SpareOf;
   for (const Unit *Unit : Units) {
     Waiting.push_back(describeWaiting(View, *Unit));
+    const std::string_view Service = Waiting.back().Service;
+    const auto [Spare, Added] = SpareOf.try_emplace(Service);
+    if (Added)
+      Spare->second = spareCapacity(Workers, Service);
+    boundPreferences(View, *Unit, Spare->second, Waiting.back());
     const StepState *Step =
         &Unit->ParentJob->Occurrences.at(Unit->Occurrence).Steps[Unit->Step];
     Waiting.back().Group =
@@ -381,6 +421,9 @@
   applyEarlierReservations(View, Units, Waiting, Workers);
   const PlacementPlan Plan =
       planPlacement(Workers, Waiting, Placed, guaranteeUses(View, Active));
+  for (const std::size_t Index : Plan.HeldBack)
+    Result.HeldBack.push_back(Units[Index]);
+  Result.LongWaits = explainLongWaits(View, Plan, Units, Waiting, Workers);
   const auto ClaimsAgain = [&](const Unit *Waiting) {
     return std::ranges::any_of(Plan.Claims, [&](const PlannedClaim &Entry) {
       return Units[Entry.WaitingIndex] == Waiting;
@@ -423,4 +466,20 @@
   return Result;
 }
 
+void applyPlan(JobTable &Table, const PlanningResult &Plan, Instant Now) {
+  for (Unit *Entry : Plan.DroppedClaims)
+    Table.dropClaim(*Entry, Now, "not_released");
+  for (const UnitClaim &Entry : Plan.Claims)
+    JobTable::claim(*Entry.Beneficiary, Entry.Claim);
+  for (const UnitPlacement &Start : Plan.Starts)
+    Table.place(*Start.Placed, Start.Places, Now);
+  for (const UnitReservation &Entry : Plan.Reservations)
+    Table.reserve(*Entry.Beneficiary, Entry.Workers, Now);
+  Table.noteHeldBack(Plan.HeldBack, Now);
+  for (const LongWait &Entry : Plan.LongWaits)
+    Table.noteWait(*Entry.Waiting, toString(Entry.Reason), Now);
+  for (const UnitPreemption &Entry : Plan.Preemptions)
+    Table.preempt(*Entry.Victim, Now, "for " + Entry.Beneficiary->name());
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -24,6 +24,18 @@
 /// start.
 constexpr Duration AvoidAfterRefusal{500};
 
+/// Why a placed start must not be sent any more; empty: it may. The worker may
+/// have changed since the decision, since its record takes a while to store.
+std::string_view startObstacle(const JobTable &Table, const WorkerLink &Worker,
+                               std::int64_t IncarnationStartMs) {
+  if (!answersAs(Worker, IncarnationStartMs))
+    return "worker_changed";
+  const Resources Free = freeCapacity(Table, Worker);
+  const bool Within =
+      Free.MilliCores >= 0 && Free.MemoryMb >= 0 && Free.Accelerators >= 0;
+  return Within ? "" : "capacity_shrank";
+}
+
 } // namespace
 
 asio::awaitable<void> Dispatcher::startMember(TermPtr Term, Unit *StartedUnit,
@@ -33,6 +45,8 @@
     co_return;
   const std::string Task = StartedUnit->taskName(Index);
   const std::string WorkerId = StartedUnit->Members[Index].Worker;
+  const std::int64_t Incarnation =
+      StartedUnit->Members[Index].IncarnationStartMs;
   const auto Existing = Term->Workers.find(WorkerId);
   if (Existing == Term->Workers.end() || !Existing->second->Client) {
     Term->Table.refuse(Task, Run, this->Time.monotonic(), RefusalRetryPause,
@@ -40,6 +54,14 @@
     co_return;
   }
   const WorkerPtr Worker = Existing->second;
+  const std::string_view Obstacle =
+      startObstacle(Term->Table, *Worker, Incarnation);
+  if (!Obstacle.empty()) {
+    Term->Table.refuse(Task, Run, this->Time.monotonic(), RefusalRetryPause,
+                       Obstacle);
+    this->requestRound();
+    co_return;
+  }
   StartOrder Order;
   Order.Task = Task;
   Order.Run = Run;
@@ -90,6 +112,14 @@
     co_await pauseFor(this->Io, OrderRetryPause);
     if (!Term->Active)
       co_return;
+    if (!startObstacle(Term->Table, *Worker, Incarnation).empty())
+      break;
+    const bool Same =
+        co_await this->confirmIncarnation(Term, Worker, Incarnation);
+    if (!Term->Active)
+      co_return;
+    if (!Same)
+      break;
   }
   // The task may or may not run there; after an accepted stop it surely does
   // not.
@@ -99,6 +129,21 @@
   co_await this->stopTask(Term, Worker, Task, Run);
 }
 
+/// Asks a worker that has not answered a start whether it is still the process
+/// that the start was meant for. A start that crashed its worker must not be
+/// repeated to the worker's next incarnation: each would crash by one run.
+asio::awaitable<bool>
+Dispatcher::confirmIncarnation(TermPtr Term, WorkerPtr Worker,
+                               std::int64_t IncarnationStartMs) {
+  PollRequest Question;
+  Question.Epoch = Term->Epoch;
+  const std::shared_ptr<WorkerClient> Client = Worker->Client;
+  const PollAnswer Answer = co_await Client->poll(Question, OrderTimeout);
+  co_return Answer.Outcome ==
+      OrderOutcome::Accepted &&Answer.Report.IncarnationStartMs ==
+      IncarnationStartMs;
+}
+
 asio::awaitable<void> Dispatcher::stopTask(TermPtr Term, WorkerPtr Worker,
                                            std::string Task, std::int64_t Run) {
   if (!Term->PendingStops.insert({Task, Run}).second)
@@ -160,7 +205,7 @@
     // acknowledged before its report has named its incarnation.
     const bool SameIncarnation =
         Worker->Synced && Worker->UnresponsiveSince.Ms == 0;
-    Order.AcknowledgedEnd = SameIncarnation ? Worker->LastRecordedEnd : 0;
+    Order.AcknowledgedEnd = SameIncarnation ? Worker->Ends.Recorded : 0;
     // The leases of an unresponsive worker are not renewed, so that they
     // expire.
     const bool Renews = Worker->Synced && Worker->UnresponsiveSince.Ms == 0;
@@ -190,12 +235,12 @@
       co_await pauseFor(this->Io, HoldRetryPause);
       continue;
     }
-    Worker->LastAcknowledgedEnd =
-        std::max(Worker->LastAcknowledgedEnd, Order.AcknowledgedEnd);
+    Worker->Ends.Acknowledged =
+        std::max(Worker->Ends.Acknowledged, Order.AcknowledgedEnd);
     this->holdAnswered(Term, Worker, Answer.Report, SentAt);
     // The worker answers every hold at once while ends are unacknowledged, so
     // the next hold waits until they are stored, or until leases need it.
-    if (Worker->LastAppliedEnd > Worker->LastRecordedEnd)
+    if (Worker->Ends.awaitRecords())
       co_await Worker->Wake.wait(holdWait(Lease));
   }
   Worker->HoldLoopRunning = false;
@@ -213,14 +258,13 @@
       Report.IncarnationStartMs != Worker->IncarnationStartMs;
   if (Restarted) {
     const bool HadRuns = mayHaveRuns(Term->Table, Worker->Id);
-    Term->Table.workerRestarted(Worker->Id, Report, Now);
+    Term->Table.workerRestarted(Worker->Id, Report, Now, this->Time.wall().Ms);
     const bool AnsweredBefore = Worker->LastAcceptedAt.Ms != 0;
     if (HadRuns && (AnsweredBefore || !mayHaveRuns(Term->Table, Worker->Id)))
       this->noteRunsGivenUp(*Term, *Worker);
     Worker->IncarnationStartMs = Report.IncarnationStartMs;
-    Worker->LastAppliedEnd = 0;
-    Worker->LastRecordedEnd = 0;
-    Worker->LastAcknowledgedEnd = 0;
+    Worker->Ends = {};
+    Worker->Ends.IncarnationStartMs = Report.IncarnationStartMs;
   }
   // The worker reads its clock when it answers, so ClockMs belongs to about Now
   // however long the hold waited.
@@ -230,12 +274,13 @@
   // An end is reported until it is acknowledged.
   WorkerReport News = Report;
   std::erase_if(News.Ended, [&](const EndedRun &End) {
-    return End.Number <= Worker->LastAppliedEnd;
+    return End.Number <= Worker->Ends.Applied;
   });
   const std::vector<RunningTask> Unwanted = Term->Table.applyReport(
       Worker->Id, News, SentAt, Now, this->Time.wall().Ms);
+  Worker->UnwantedUse = Term->Table.neededBy(Unwanted);
   for (const EndedRun &End : News.Ended)
-    Worker->LastAppliedEnd = std::max(Worker->LastAppliedEnd, End.Number);
+    Worker->Ends.Applied = std::max(Worker->Ends.Applied, End.Number);
   for (const RunningTask &Task : Unwanted) {
     logEvent(LogLevel::Warning, "unwanted_run",
              {{"task", Task.Task}, {"run", Task.Run}, {"worker", Worker->Id}});
--- a/src/pistachioflow/platform_standin/platform_server.cpp
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -1,12 +1,13 @@
 #include "pistachioflow/platform_standin/platform_server.hpp"
 
-#include <array>
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "pistachioflow/codec/json_reader.hpp"
 #include "pistachioflow/net/http_client.hpp"
+#include "platform_server_parts.hpp"
 
 namespace pistachioflow {
 
@@ -14,10 +15,6 @@
 
 using Json = nlohmann::json;
 
-constexpr Duration AdvanceInterval{10};
-constexpr Duration WorkerListInterval{500};
-/// Delay that stands for a lost answer; longer than any timeout of a caller.
-constexpr Duration NoAnswerDelay{60'000};
 constexpr std::size_t PageSize = 500;
 
 std::string queryValue(const std::string &Query, std::string_view Name) {
@@ -77,73 +74,20 @@
   return Bytes;
 }
 
-HttpResponse json(int Status, const Json &Body) {
-  HttpResponse Response;
-  Response.Status = Status;
-  Response.Body = dumpJson(Body);
-  return Response;
-}
-
-std::string_view wireReason(OrderOutcome Outcome) {
-  switch (Outcome) {
-  case OrderOutcome::StaleEpoch:
-    return "fence";
-  case OrderOutcome::StaleRun:
-    return "old";
-  case OrderOutcome::LeaseExpired:
-    return "late";
-  case OrderOutcome::InsufficientCapacity:
-    return "room";
-  default:
-    return "";
-  }
-}
-
-HttpResponse orderResponse(const OrderAnswer &Answer) {
-  if (Answer.Outcome == OrderOutcome::Accepted)
-    return json(200, {{"clock_ms", Answer.ClockMs}});
-  return json(409, {{"clock_ms", Answer.ClockMs},
-                    {"reason", std::string(wireReason(Answer.Outcome))}});
-}
-
 HttpResponse appendResponse(const AppendAnswer &Answer) {
   switch (Answer.Outcome) {
   case AppendOutcome::Appended:
-    return json(200, {{"end_offset", Answer.EndOffset}});
+    return jsonResponse(200, {{"end_offset", Answer.EndOffset}});
   case AppendOutcome::OffsetMismatch:
-    return json(412, {{"end_offset", Answer.EndOffset}});
+    return jsonResponse(412, {{"end_offset", Answer.EndOffset}});
   case AppendOutcome::Fenced:
-    return json(409, {{"reason", "fenced"}});
+    return jsonResponse(409, {{"reason", "fenced"}});
   default:
-    return json(409,
-                {{"reason", "seq"}, {"sequence", Answer.ExpectedSequence}});
+    return jsonResponse(
+        409, {{"reason", "seq"}, {"sequence", Answer.ExpectedSequence}});
   }
 }
 
-std::string_view wireRunEnd(RunOutcome How) {
-  constexpr std::array Words{"done",   "failed", "stopped",
-                             "lapsed", "broken", "alone"};
-  return Words.at(static_cast<std::size_t>(How));
-}
-
-HttpResponse pollResponse(const PollAnswer &Answer) {
-  if (Answer.Outcome != OrderOutcome::Accepted)
-    return orderResponse({Answer.Outcome, 0});
-  Json Running = Json::array();
-  for (const RunningTask &Task : Answer.Report.Running)
-    Running.push_back(Json::array({Task.Task, Task.Run, Task.Checkpoint,
-                                   Task.ProgressPercent, Task.CpuMilli}));
-  Json Ended = Json::array();
-  for (const EndedRun &End : Answer.Report.Ended)
-    Ended.push_back(
-        Json::array({End.Number, End.Task, End.Run,
-                     std::string(wireRunEnd(End.Outcome)), End.Checkpoint}));
-  return json(200, {{"clock_ms", Answer.Report.ClockMs},
-                    {"born", Answer.Report.IncarnationStartMs},
-                    {"running", Running},
-                    {"ended_runs", Ended}});
-}
-
 } // namespace
 
 PlatformServer::PlatformServer(asio::io_context &Io, const Clock &Time,
@@ -162,7 +106,6 @@
 
 bool PlatformServer::start(std::size_t WorkerCount, std::size_t WorkersPerRack,
                            Resources WorkerCapacity) {
-  this->Capacity = WorkerCapacity;
   const asio::ip::tcp::endpoint AnyPort = parseEndpoint("127.0.0.1:0");
   if (!this->StoreServer.listen(AnyPort))
     return false;
@@ -171,8 +114,9 @@
     WorkerEndpoint Endpoint;
     Endpoint.Id = Id;
     Endpoint.Rack = "r" + std::to_string(Index / WorkersPerRack);
-    Endpoint.Server =
-        std::make_unique<HttpServer>(this->Io, [this, Id](HttpRequest Request) {
+    Endpoint.Server = std::make_unique<HttpServer>(
+        this->Io, [this, Id, Index](HttpRequest Request) {
+          ++this->WorkerEndpoints[Index].Calls;
           return this->serveWorker(Id, std::move(Request));
         });
     if (!Endpoint.Server->listen(AnyPort))
@@ -191,26 +135,9 @@
   this->RecordsAppended.notify();
 }
 
-void PlatformServer::publishWorkers() {
-  for (WorkerEndpoint &Endpoint : this->WorkerEndpoints) {
-    const Json Entry = {
-        {"service", "svc"},
-        {"address", "127.0.0.1:" + std::to_string(Endpoint.Server->port())},
-        {"zone", "z1"},
-        {"version", "v1"},
-        {"slots", 8},
-        {"state", "ready"},
-        {"cold_remaining_ms", 0},
-        {"capacity",
-         {{"cpu", this->Capacity.MilliCores},
-          {"memory_request_mb", this->Capacity.MemoryMb},
-          {"gpus", this->Capacity.Accelerators}}},
-        {"labels", Json::array({"a", Endpoint.Rack})},
-        {"clock_ms", this->Time.monotonic().Ms},
-        {"born", this->Simulator.incarnationStartMs(Endpoint.Id)},
-        {"sequence", ++Endpoint.Heartbeats}};
-    this->Store.put(std::string(WorkerTopic), {Endpoint.Id, dumpJson(Entry)});
-  }
+void PlatformServer::forgetHistory() {
+  this->Store.compact(std::string(JournalTopic));
+  this->StoreBehaviour.WatchesSilent = false;
   this->RecordsAppended.notify();
 }
 
@@ -237,6 +164,8 @@
   if (this->StoreBehaviour.Refusing)
     co_return Response;
   if (Request.Target.starts_with("/log-append")) {
+    if (this->StoreBehaviour.AppendDelay.Ms > 0)
+      co_await pauseFor(this->Io, this->StoreBehaviour.AppendDelay);
     Response = this->serveAppend(Request.Target, Request.Body);
     if (this->chance(this->StoreBehaviour.LostAnswerShare))
       co_await pauseFor(this->Io, NoAnswerDelay);
@@ -252,10 +181,13 @@
 
 HttpResponse PlatformServer::serveAppend(const std::string &Query,
                                          const std::string &Body) {
+  const std::size_t Limit = this->StoreBehaviour.MaxAppendBytes;
+  if (Limit > 0 && Body.size() > Limit)
+    return jsonResponse(413, {{"error", "too large"}});
   bool Malformed = false;
   const std::vector<JournalRecord> Records = decodeRecords(Body, Malformed);
   if (Malformed)
-    return json(400, {{"error", "malformed records"}});
+    return jsonResponse(400, {{"error", "malformed records"}});
   const Producer Writer{queryValue(Query, "producer_id"),
                         queryNumber(Query, "epoch"),
                         queryNumber(Query, "sequence")};
@@ -273,19 +205,27 @@
   const std::int64_t From = queryNumber(Query, "from");
   const Duration Wait{queryNumber(Query, "wait_ms")};
   const Instant StartedAt = this->Time.monotonic();
-  while (From >= this->Store.endOffset(Topic)) {
+  const auto Silent = [this, Wait] {
+    return this->StoreBehaviour.WatchesSilent && Wait.Ms > 0;
+  };
+  while (Silent() || From >= this->Store.endOffset(Topic)) {
     const Duration Remaining = Wait - (this->Time.monotonic() - StartedAt);
     if (Remaining.Ms <= 0)
       break;
     co_await this->RecordsAppended.wait(Remaining);
   }
   if (From < this->Store.firstOffset(Topic))
-    co_return json(410, {{"first_offset", this->Store.firstOffset(Topic)}});
+    co_return jsonResponse(410,
+                           {{"first_offset", this->Store.firstOffset(Topic)}});
+  // A silent watch shows the topic as if nothing had been appended.
+  const std::int64_t End = Silent() ? From : this->Store.endOffset(Topic);
+  std::vector<JournalRecord> Records;
+  if (!Silent())
+    Records = this->Store.read(Topic, From);
   HttpResponse Response;
   Response.Status = 200;
-  Response.Body = bigEndian(this->Store.endOffset(Topic)) +
-                  bigEndian(this->Store.firstOffset(Topic)) +
-                  encodeRecords(this->Store.read(Topic, From));
+  Response.Body = bigEndian(End) + bigEndian(this->Store.firstOffset(Topic)) +
+                  encodeRecords(Records);
   co_return Response;
 }
 
@@ -293,102 +233,22 @@
   const std::string Topic = queryValue(Query, "topic");
   const auto Page =
       this->Store.newest(Topic, queryValue(Query, "after"), PageSize);
-  Json Items = Json::array();
-  for (const LogStore::StoredRecord &Entry : Page)
-    Items.push_back({{"key", Entry.Record.Key},
-                     {"value", encodeBase64(Entry.Record.Value)},
-                     {"offset", Entry.Offset}});
-  return json(200, {{"items", Items},
-                    {"has_more", Page.size() == PageSize},
-                    {"end_offset", this->Store.endOffset(Topic)}});
-}
-
-bool PlatformServer::isCutOff(const std::string &Id,
-                              std::int64_t CallerEpoch) const {
-  const std::optional<Partition> &Cut = this->WorkerBehaviour.Cut;
-  return Cut && Cut->Workers.contains(Id) != (CallerEpoch == Cut->OwnerEpoch);
-}
-
-asio::awaitable<HttpResponse> PlatformServer::serveWorker(std::string Id,
-                                                          HttpRequest Request) {
-  const Json Body = Json::parse(Request.Body, nullptr, false);
-  const std::int64_t CallerEpoch =
-      Body.is_object() ? Body.value("fencing_token", std::int64_t{0}) : 0;
-  if (this->isCutOff(Id, CallerEpoch))
-    co_await pauseFor(this->Io, NoAnswerDelay);
-  HttpResponse Response;
-  Response.Status = 503;
-  if (!this->isCutOff(Id, CallerEpoch))
-    Response = co_await this->serveReachable(Id, std::move(Request));
-  if (this->isCutOff(Id, CallerEpoch))
-    co_await pauseFor(this->Io, NoAnswerDelay);
-  co_return Response;
-}
-
-asio::awaitable<HttpResponse>
-PlatformServer::serveReachable(std::string Id, HttpRequest Request) {
-  if (Request.Target == "/run-start")
-    co_return co_await this->serveStart(std::move(Id), std::move(Request.Body));
-  if (Request.Target == "/hold")
-    co_return co_await this->servePoll(std::move(Id), std::move(Request.Body));
-  const Json Body = Json::parse(Request.Body, nullptr, false);
-  HttpResponse Response;
-  Response.Status = 404;
-  if (Request.Target == "/run-stop" && Body.is_object())
-    Response = orderResponse(this->Simulator.stop(
-        Id, Body.value("task", ""), Body.value("run", std::int64_t{0}),
-        Body.value("fencing_token", std::int64_t{0}), this->Time.monotonic()));
-  co_return Response;
-}
-
-asio::awaitable<HttpResponse> PlatformServer::serveStart(std::string Id,
-                                                         std::string Text) {
-  const Json Body = Json::parse(Text, nullptr, false);
-  StartOrder Order;
-  Order.Task = Body.value("task", "");
-  Order.Run = Body.value("run", std::int64_t{0});
-  Order.Payload = Body.value("specification", "");
-  Order.LeaseUntilMs = Body.value("deadline_ms", std::int64_t{0});
-  Order.Epoch = Body.value("fencing_token", std::int64_t{0});
-  const bool Delayed = this->chance(this->WorkerBehaviour.DelayedStartShare);
-  const std::int64_t ReceivingIncarnation =
-      this->Simulator.incarnationStartMs(Id);
-  if (Delayed)
-    co_await pauseFor(this->Io, this->WorkerBehaviour.StartDelay);
-  // A worker that restarted in between has lost the order.
-  if (this->Simulator.incarnationStartMs(Id) != ReceivingIncarnation)
-    co_await pauseFor(this->Io, NoAnswerDelay);
-  const OrderAnswer Answer =
-      this->Simulator.start(Id, Order, this->Time.monotonic());
-  if (Delayed)
-    co_await pauseFor(this->Io, NoAnswerDelay);
-  co_return orderResponse(Answer);
-}
-
-asio::awaitable<HttpResponse> PlatformServer::servePoll(std::string Id,
-                                                        std::string Text) {
-  const Json Body = Json::parse(Text, nullptr, false);
-  PollRequest Order;
-  Order.Epoch = Body.value("fencing_token", std::int64_t{0});
-  Order.AcknowledgedEnd = Body.value("last_seen", std::int64_t{0});
-  if (Body.contains("deadline_ms"))
-    Order.LeaseUntilMs = Body["deadline_ms"].get<std::int64_t>();
-  Order.WaitMs = Body.value("wait_ms", std::int64_t{0});
-  const Instant StartedAt = this->Time.monotonic();
-  PollAnswer Answer = this->Simulator.poll(Id, Order, StartedAt);
-  const auto Waited = [&] { return this->Time.monotonic() - StartedAt; };
-  while (Answer.Outcome == OrderOutcome::Accepted &&
-         Answer.Report.Ended.empty() && Waited() < Duration{Order.WaitMs}) {
-    co_await pauseFor(this->Io, AdvanceInterval);
-    if (this->Simulator.hasUnacknowledgedEnds(Id))
-      break;
+  std::string Items;
+  for (const LogStore::StoredRecord &Entry : Page) {
+    const std::string &Key = Entry.Record.Key;
+    Items += Items.empty() ? "" : ",";
+    Items += R"({"key":)";
+    Items += this->StoreBehaviour.RawKeys ? "\"" + Key + "\"" : dumpJson(Key);
+    Items += R"(,"value":")" + encodeBase64(Entry.Record.Value);
+    Items += R"(","offset":)" + std::to_string(Entry.Offset) + "}";
   }
-  // Reports the current state. The lease was renewed and the ends were
-  // acknowledged on arrival.
-  Order.LeaseUntilMs.reset();
-  Order.AcknowledgedEnd = 0;
-  Answer = this->Simulator.poll(Id, Order, this->Time.monotonic());
-  co_return pollResponse(Answer);
+  HttpResponse Response;
+  Response.Status = 200;
+  Response.Body = R"({"items":[)" + Items + R"(],"has_more":)";
+  Response.Body += Page.size() == PageSize ? "true" : "false";
+  Response.Body += R"(,"end_offset":)";
+  Response.Body += std::to_string(this->Store.endOffset(Topic)) + "}";
+  return Response;
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -82,10 +82,12 @@
 }
 
 bool isEligible(const PlacementWorker &Worker, const WaitingUnit &Unit) {
+  if (Worker.ReservedThisRound && !Unit.IgnoresReservations)
+    return false;
   const bool NonUrgentSingleTask = Unit.Priority > 0 && Unit.TaskCount == 1;
-  if (Worker.ReservedForUrgent && NonUrgentSingleTask)
+  if (Worker.ReservedForUrgent && NonUrgentSingleTask && !Unit.AcceptsAnyWorker)
     return false;
-  return !Worker.ReservedThisRound && mayHost(Worker, Unit);
+  return mayHost(Worker, Unit);
 }
 
 bool isAvoided(const PlacementWorker &Worker, const WaitingUnit &Unit) {
@@ -94,6 +96,8 @@
   if (Worker.ReservedForGroup != NoGroup &&
       Worker.ReservedForGroup != Unit.Group)
     return true;
+  if (Worker.HostsSuspect || (Unit.Suspect && Worker.Occupied))
+    return true;
   return Worker.Deprioritized ||
          (Unit.AvoidedWorkers && Unit.AvoidedWorkers->contains(Worker.Id));
 }
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -41,6 +41,14 @@
   return Parsed;
 }
 
+/// What a task of the step counts against its worker's capacity.
+Resources countedResources(const StepSpec &Step) {
+  Resources Each = Step.TaskResources;
+  if (Step.FillsIdleCpu)
+    Each.MilliCores = 0;
+  return Each;
+}
+
 Resources plus(Resources Left, const Resources &Right) {
   Left.MilliCores += Right.MilliCores;
   Left.MemoryMb += Right.MemoryMb;
@@ -153,6 +161,10 @@
   Unit->Attempts = readAttempts(Record, LeaseEnds);
   for (const PresumedEnd &End : Unit->Attempts.PresumedEnds)
     this->PresumedEndsByWorker[End.Worker].insert(Unit);
+  Unit->Crashes = readCrashes(Record, Now);
+  for (const CrashRecord &Crash : Unit->Crashes.Crashes)
+    if (Crash.Suspected)
+      this->SuspectsByWorker[Crash.Worker].insert(Unit);
   if (Record.GangRunEnded)
     Unit->FirstMemberEndedAt = Now;
   Unit->Checkpoint = Record.Checkpoint;
@@ -251,7 +263,8 @@
     const std::int64_t Limit = Unit->ParentJob->Submission.Terms.MaxAttempts;
     const bool MayRun =
         Unit->spec().LongRunning || mayRunAgain(Unit->Attempts, Limit, Now);
-    if (MayRun && Unit->NotBefore <= Now)
+    if (MayRun && Unit->NotBefore <= Now &&
+        mayStartAfterCrashes(Unit->Crashes, Now))
       Ready.push_back(Unit);
   }
   return Ready;
@@ -268,6 +281,7 @@
   Unit.FullyStarted = false;
   Unit.FirstMemberEndedAt = {};
   Unit.ReservedWorkers.clear();
+  Unit.HeldBackSince = {};
   Unit.PlacedAt = Now;
   Unit.Members.clear();
   for (const PlaceRecord &Place : Places)
@@ -349,6 +363,22 @@
   this->Events.back().Victims = Unused;
 }
 
+void JobTable::noteHeldBack(std::span<Unit *const> HeldBack, Instant Now) {
+  const std::set<const Unit *> Listed(HeldBack.begin(), HeldBack.end());
+  for (Unit *Entry : this->Waiting) {
+    if (!Listed.contains(Entry))
+      Entry->HeldBackSince = {};
+    else if (Entry->HeldBackSince.Ms == 0)
+      Entry->HeldBackSince = Now;
+  }
+}
+
+void JobTable::noteWait(Unit &Unit, std::string_view Reason, Instant Now) {
+  Unit.WaitNotedAt = Now;
+  this->recordEvent(TableEvent::Kind::StillWaiting, Unit.name(), {}, Unit.Run,
+                    std::string(Reason), (Now - Unit.ReadySince).Ms);
+}
+
 bool JobTable::markSent(const MemberRef &Ref, std::int64_t Run, Instant Now) {
   if (Ref.ParentUnit->Run != Run || Ref.Index >= Ref.ParentUnit->Members.size())
     return false;
@@ -475,12 +505,16 @@
 
 Resources JobTable::occupiedCapacity(std::string_view Worker) const {
   Resources Used;
-  for (const MemberRef &Ref : this->membersOn(Worker)) {
-    Resources Each = Ref.ParentUnit->spec().TaskResources;
-    if (Ref.ParentUnit->spec().FillsIdleCpu)
-      Each.MilliCores = 0;
-    Used = plus(Used, Each);
-  }
+  for (const MemberRef &Ref : this->membersOn(Worker))
+    Used = plus(Used, countedResources(Ref.ParentUnit->spec()));
+  return Used;
+}
+
+Resources JobTable::neededBy(std::span<const RunningTask> Runs) {
+  Resources Used;
+  for (const RunningTask &Run : Runs)
+    if (const TaskLocation Place = this->findTask(Run.Task); Place.ParentUnit)
+      Used = plus(Used, countedResources(Place.ParentUnit->spec()));
   return Used;
 }
 
--- a/src/pistachioflow/sched/job_table_records.cpp
+++ b/src/pistachioflow/sched/job_table_records.cpp
@@ -14,6 +14,7 @@
   Record.Checkpoint = Unit.Checkpoint;
   Record.GangRunEnded = Unit.FirstMemberEndedAt.Ms != 0;
   writeAttempts(Unit.Attempts, Record);
+  Record.Crashes = Unit.Crashes.Crashes;
   const bool AnyActive =
       std::ranges::any_of(Unit.Members, [](const Member &Entry) {
         return Entry.Phase != MemberPhase::Ended;
@@ -68,6 +69,8 @@
       ++Entry;
       continue;
     }
+    for (auto &[Worker, Units] : this->PresumedEndsByWorker)
+      std::erase_if(Units, BelongsToJob);
     this->DroppedKeys.push_back(submissionKey(Job.Id));
     this->DroppedKeys.push_back(cancellationKey(Job.Id));
     this->DroppedKeys.push_back(phaseKey(Job.Id));
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -66,25 +66,53 @@
         Held(Waiting.size()), Guarantees(std::move(Guarantees)) {
     for (std::size_t Index = 0; Index < Placed.size(); ++Index)
       this->Stopping[Index] = Placed[Index].Stopping;
+    this->AnyReserved =
+        std::ranges::any_of(Workers, &PlacementWorker::ReservedForUrgent);
   }
 
   PlacementPlan run() {
     this->holdClaims();
     for (const std::size_t Index : this->order()) {
       const WaitingUnit &Unit = this->Waiting[Index];
-      // Tasks of a group are identical: if one is blocked, all are.
-      if (Unit.Group == this->BlockedGroup)
+      if (this->isBlockedWithGroup(Unit)) {
+        if (this->LastBlocked.HeldBack)
+          this->Plan.HeldBack.push_back(Index);
         continue;
-      if (!this->tryPlace(Index)) {
-        this->Plan.Blocked.push_back(Index);
-        if (!Unit.Step->Gang && Unit.Priority > 0)
-          this->BlockedGroup = Unit.Group;
       }
+      if (this->tryPlace(Index))
+        continue;
+      this->Plan.Blocked.push_back(Index);
+      if (!Unit.Step->Gang && Unit.Priority > 0)
+        this->LastBlocked = {Unit.Group, Unit.AcceptsAnyWorker,
+                             Unit.IgnoresReservations, Unit.LastAttempt,
+                             this->isHeldBack(Index)};
     }
     return std::move(this->Plan);
   }
 
 private:
+  /// A step whose single tasks are blocked.
+  struct BlockedStep {
+    std::size_t Group = NoGroup;
+    bool AcceptsAnyWorker = false;
+    bool IgnoresReservations = false;
+    bool LastAttempt = false;
+    bool HeldBack = false;
+  };
+
+  /// Tasks of a group are identical: if one is blocked, all are that accept the
+  /// same workers.
+  bool isBlockedWithGroup(const WaitingUnit &Unit) const {
+    return Unit.Group == this->LastBlocked.Group &&
+           Unit.AcceptsAnyWorker == this->LastBlocked.AcceptsAnyWorker &&
+           Unit.IgnoresReservations == this->LastBlocked.IgnoresReservations &&
+           Unit.LastAttempt == this->LastBlocked.LastAttempt;
+  }
+
+  bool isHeldBack(std::size_t Index) const {
+    return !this->Plan.HeldBack.empty() && this->Plan.HeldBack.back() == Index;
+  }
+
   /// Withholds the capacity of valid claims from all other units, so that what
   /// was preempted for a unit serves no other.
   void holdClaims() {
@@ -133,6 +161,27 @@
     return Overdue;
   }
 
+  /// Chooses free workers for a unit: those that it prefers, or else any that
+  /// it fits on if it accepts them. Notes a unit that preferences or
+  /// reservations hold back.
+  std::optional<WorkerChoice>
+  chooseNow(std::size_t Index, std::span<const std::string_view> Racks) {
+    WaitingUnit Unit = this->Waiting[Index];
+    Unit.AcceptsAnyWorker = Unit.IgnoresReservations = false;
+    auto Preferred =
+        chooseWorkers(this->Workers, Unit, Racks, &PlacementWorker::FreeNow);
+    if (Preferred || (Racks.empty() && !this->AnyReserved))
+      return Preferred;
+    if (this->Waiting[Index].AcceptsAnyWorker)
+      if (auto Accepted = chooseWorkers(this->Workers, this->Waiting[Index], {},
+                                        &PlacementWorker::FreeNow))
+        return Accepted;
+    Unit.AcceptsAnyWorker = Unit.IgnoresReservations = true;
+    if (chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow))
+      this->Plan.HeldBack.push_back(Index);
+    return std::nullopt;
+  }
+
   /// Returns whether the unit starts now.
   bool tryPlace(std::size_t Index) {
     const WaitingUnit &Unit = this->Waiting[Index];
@@ -141,8 +190,7 @@
       return this->tryHeld(Index);
     const std::vector<std::string_view> Racks =
         allowedRacks(this->Workers, Unit);
-    if (auto Chosen = chooseWorkers(this->Workers, Unit, Racks,
-                                    &PlacementWorker::FreeNow)) {
+    if (auto Chosen = this->chooseNow(Index, Racks)) {
       this->start(Index, std::move(*Chosen));
       return true;
     }
@@ -160,12 +208,34 @@
       }
     }
     if (Unit.Priority == 0)
-      this->preemptFor(Index, Racks);
-    else if (Unit.TaskCount > 1)
+      return this->tryUrgent(Index, Racks);
+    if (Unit.TaskCount > 1)
       this->reserveFor(Index, Racks);
     return false;
   }
 
+  bool mayReclaim(const WaitingUnit &Unit) const {
+    return Unit.ReclaimDue &&
+           this->Guarantees.covers(Unit.Workspace, acceleratorsOf(Unit));
+  }
+
+  /// Preempts for a unit of the highest priority. Guaranteed work has a limit
+  /// in time and its racks are a preference: where they yield nothing, it takes
+  /// workers of any rack. Returns whether the unit starts now.
+  bool tryUrgent(std::size_t Index, std::span<const std::string_view> Racks) {
+    const WaitingUnit &Unit = this->Waiting[Index];
+    const bool Planned = this->preemptFor(Index, Racks);
+    if (Planned || Racks.empty() || !this->mayReclaim(Unit))
+      return false;
+    if (auto Chosen =
+            chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow)) {
+      this->start(Index, std::move(*Chosen));
+      return true;
+    }
+    this->preemptFor(Index, {});
+    return false;
+  }
+
   /// Starts a unit with a claim on its claimed workers, or on others in place
   /// of those that are not released yet. Otherwise the claim stays held.
   bool tryHeld(std::size_t Index) {
@@ -175,9 +245,7 @@
     release(this->Workers, Claimed, PerTask);
     std::optional<WorkerChoice> Chosen = this->completeClaim(Unit, Claimed);
     if (!Chosen)
-      Chosen =
-          chooseWorkers(this->Workers, Unit, allowedRacks(this->Workers, Unit),
-                        &PlacementWorker::FreeNow);
+      Chosen = this->chooseNow(Index, allowedRacks(this->Workers, Unit));
     if (!Chosen) {
       occupy(this->Workers, Claimed, PerTask);
       return false;
@@ -236,7 +304,14 @@
 
   void start(std::size_t Index, WorkerChoice Chosen) {
     const WaitingUnit &Unit = this->Waiting[Index];
+    if (this->isHeldBack(Index))
+      this->Plan.HeldBack.pop_back();
     occupy(this->Workers, Chosen, countedDemand(*Unit.Step));
+    for (const std::size_t Worker : Chosen) {
+      this->Workers[Worker].Occupied = true;
+      this->Workers[Worker].HostsSuspect =
+          this->Workers[Worker].HostsSuspect || Unit.Suspect;
+    }
     if (Unit.Priority == 0)
       this->Guarantees.use(Unit.Workspace, acceleratorsOf(Unit));
     this->addToGroup(Index, Chosen);
@@ -261,6 +336,7 @@
     this->ReservedCount += Indices.size();
     for (const std::size_t Worker : Indices)
       this->Workers[Worker].ReservedThisRound = true;
+    this->AnyReserved = true;
     this->Plan.Reservations.push_back({Index, std::move(Indices)});
   }
 
@@ -297,25 +373,24 @@
     Worker.FreeAfterExpectedEnds = Worker.FreeAfterExpectedEnds + PerTask;
   }
 
-  void preemptFor(std::size_t Index, std::span<const std::string_view> Racks) {
+  /// Returns whether preemptions make room for the unit.
+  bool preemptFor(std::size_t Index, std::span<const std::string_view> Racks) {
     const WaitingUnit &Unit = this->Waiting[Index];
-    const std::int64_t Needed = acceleratorsOf(Unit);
-    const bool MayReclaim =
-        Unit.ReclaimDue && this->Guarantees.covers(Unit.Workspace, Needed);
     const std::span<const bool> StoppingNow(this->Stopping.get(),
                                             this->Placed.size());
     const std::optional<Preemption> Planned =
         planPreemption({this->Workers, this->Placed, StoppingNow, Unit,
-                        MayReclaim, this->Guarantees},
+                        this->mayReclaim(Unit), this->Guarantees},
                        Racks);
     if (!Planned)
-      return;
+      return false;
     for (const Victim &Stopped : Planned->Victims)
       this->stop(Stopped, Index);
     occupy(this->Workers, Planned->Chosen, countedDemand(*Unit.Step));
-    this->Guarantees.claim(Unit.Workspace, Needed);
+    this->Guarantees.claim(Unit.Workspace, acceleratorsOf(Unit));
     if (!Planned->Victims.empty())
       this->Plan.Claims.push_back({Index, Planned->Chosen});
+    return true;
   }
 
   void stop(const Victim &Stopped, std::size_t Beneficiary) {
@@ -336,8 +411,9 @@
   /// The claim of each waiting unit that has a valid one.
   std::vector<std::optional<WorkerChoice>> Held;
   GuaranteeLedger Guarantees;
-  std::size_t BlockedGroup = NoGroup;
+  BlockedStep LastBlocked;
   std::size_t ReservedCount = 0;
+  bool AnyReserved = false; ///< Some workers are reserved for other work.
   PlacementPlan Plan;
 };
 
@@ -345,15 +421,17 @@
 
 std::optional<std::size_t>
 planReplacement(std::span<PlacementWorker> Workers, const WaitingUnit &Gang,
-                std::span<const std::string_view> OtherRacks) {
-  const bool OneRack = Gang.Step->TightlyCoupled && !OtherRacks.empty();
-  const bool NearData =
-      !Gang.Step->DataRack.empty() &&
-      std::ranges::find(OtherRacks, Gang.Step->DataRack) != OtherRacks.end();
+                std::span<const std::string_view> Racks) {
+  const bool StaysOnRack =
+      !Racks.empty() &&
+      std::ranges::count(Racks, Racks.front()) == std::ranges::ssize(Racks);
+  const bool OneRack = Gang.Step->TightlyCoupled && StaysOnRack;
+  const bool NearData = !Gang.Step->DataRack.empty() && StaysOnRack &&
+                        Racks.front() == Gang.Step->DataRack;
   for (const CandidateWorker &Entry :
        findCandidates(Workers, Gang, &PlacementWorker::FreeNow)) {
     const std::string_view Rack = Workers[Entry.Worker].Rack;
-    const bool Allowed = (!OneRack || Rack == OtherRacks.front()) &&
+    const bool Allowed = (!OneRack || Rack == Racks.front()) &&
                          (!NearData || Rack == Gang.Step->DataRack);
     if (Allowed && !Entry.Avoided)
       return Entry.Worker;
--- a/tests/platform/fleet.hpp
+++ b/tests/platform/fleet.hpp
@@ -19,6 +19,9 @@
 
 namespace pistachioflow {
 
+/// What each worker of a fleet offers at first.
+inline constexpr Resources WorkerCapacity{16'000, 16'000, 8};
+
 /// One daemon process of a test. It reaches the store through a proxy.
 struct FleetMember {
   std::string Name;
@@ -60,6 +63,9 @@
   std::vector<std::string>
   run(std::function<asio::awaitable<void>(Fleet &)> Test);
 
+  /// Sets how many bytes one append may have, before run().
+  void limitAppends(std::int64_t Bytes);
+
   void startMember(std::size_t Index);
   void signalMember(std::size_t Index, int Signal);
   /// Restarts processes that exited. An exit without a signal of the test is a
@@ -100,6 +106,7 @@
   // Declared first, so that it is destroyed after the sockets that use it.
   asio::io_context Io;
   std::string Folder;
+  std::int64_t MaxAppendBytes = 2'097'152;
   std::vector<std::string> Violations;
 
 public:
