--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -60,13 +60,20 @@
          Worker.UnresponsiveSince.Ms != 0 || Worker.Ends.awaitAcknowledgement();
 }
 
+/// Whether the entry is of the incarnation that last answered: labels and
+/// capacity of another one may differ. Where either names none, it counts as
+/// the same.
+inline bool describesIncarnation(const WorkerLink &Worker) {
+  return Worker.Entry.IncarnationStartMs == 0 ||
+         Worker.IncarnationStartMs == 0 ||
+         Worker.Entry.IncarnationStartMs == Worker.IncarnationStartMs;
+}
+
 /// Whether, as far as is known, the worker answers and is the process that
 /// started at \p IncarnationStartMs.
 inline bool answersAs(const WorkerLink &Worker,
                       std::int64_t IncarnationStartMs) {
-  const std::int64_t ListedStartMs = Worker.Entry.IncarnationStartMs;
-  const bool ListedAsOther =
-      Worker.Listed && ListedStartMs > 0 && ListedStartMs != IncarnationStartMs;
+  const bool ListedAsOther = Worker.Listed && !describesIncarnation(Worker);
   return Worker.UnresponsiveSince.Ms == 0 && !ListedAsOther &&
          Worker.IncarnationStartMs == IncarnationStartMs;
 }
