--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -99,12 +99,16 @@
 Dispatcher::~Dispatcher() = default;
 
 void Dispatcher::begin(std::int64_t Epoch,
-                       std::shared_ptr<JournalWriter> Writer) {
+                       std::shared_ptr<JournalWriter> Writer,
+                       ClaimTimes Claim) {
   this->end();
   this->CurrentTerm = std::make_shared<OwnershipTerm>();
   this->CurrentTerm->Epoch = Epoch;
   this->CurrentTerm->Writer = std::move(Writer);
   this->CurrentTerm->StartedAt = this->Time.monotonic();
+  this->CurrentTerm->ClaimSentAt = Claim.SentAt;
+  this->CurrentTerm->Earlier.GainedAt = this->CurrentTerm->StartedAt;
+  this->CurrentTerm->Earlier.PreviousEpochSeenAt = Claim.PreviousEpochSeenAt;
   entryMetrics().OwnershipsGained.add();
   entryMetrics().OwnerEpoch.set(Epoch);
   logEvent(LogLevel::Info, "ownership_gained", {{"epoch", Epoch}});
--- a/src/pistachioflow/entry/dispatcher_journal.cpp
+++ b/src/pistachioflow/entry/dispatcher_journal.cpp
@@ -8,9 +8,9 @@
 namespace pistachioflow {
 
 JournalTimes Dispatcher::journalTimes() const {
-  const Instant Now = this->Time.monotonic();
-  return {Now, this->Time.wall().Ms,
-          Now + maxLocalLease(this->Settings.MaxLease)};
+  return {
+      this->Time.monotonic(), this->Time.wall().Ms,
+      earlierLeasesEnd(this->Settings.MaxLease, this->CurrentTerm->Earlier)};
 }
 
 void Dispatcher::journalLoaded(const TopicRecords &Journal) {
@@ -55,15 +55,16 @@
 /// listed.
 void Dispatcher::adoptWorkers() {
   OwnershipTerm &Term = *this->CurrentTerm;
-  const JournalTimes Times = this->journalTimes();
+  const Instant Now = this->Time.monotonic();
   for (const Unit *Entry : Term.Table.active())
     for (const Member &PlacedMember : Entry->Members) {
       WorkerPtr &Worker = Term.Workers[PlacedMember.Worker];
       if (!Worker)
         Worker = std::make_shared<WorkerLink>(this->Io, PlacedMember.Worker);
-      Worker->LeaseEnds = Times.LeasesEnd;
-      Worker->UnresponsiveSince = Times.Now;
+      Worker->UnresponsiveSince = Now;
     }
+  Term.OccupiedAtStart = Term.Workers.size();
+  this->boundEarlierLeases(Term);
 }
 
 } // namespace pistachioflow
