Take the ports of test daemons from outside the ephemeral range

Cause: the fixture let the system choose the port and closed it. Such a port is an ephemeral one, which the system gives to the next outgoing connection, of any process, before the daemon listens; the connection lives on, so that restarts fail too. With more process tests than before this happens more often.

Change: ports come from below the range of outgoing connections, each test process beginning elsewhere, and each is tried before it is used.

--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -4,7 +4,6 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <set>
 #include <utility>
 
 #include <fcntl.h>
@@ -28,13 +27,20 @@
 
 /// Returns a port that is free now; the daemon binds it later.
 /// Returns a port that is free now and that this process has not chosen before.
-/// The system may offer one again as soon as it is closed.
+/// It is below those that the system gives to outgoing connections, which could
+/// take it before the daemon listens. Test processes start at different ports.
 unsigned short freePort(asio::io_context &Io) {
-  static std::set<unsigned short> Chosen;
+  constexpr unsigned FirstPort = 10'000;
+  constexpr unsigned PortCount = 20'000;
+  constexpr unsigned PortsPerProcess = 61;
+  static unsigned Next = static_cast<unsigned>(::getpid()) * PortsPerProcess;
   while (true) {
-    asio::ip::tcp::acceptor Probe(Io, parseEndpoint("127.0.0.1:0"));
-    const unsigned short Port = Probe.local_endpoint().port();
-    if (Chosen.insert(Port).second)
+    const auto Port =
+        static_cast<unsigned short>(FirstPort + Next++ % PortCount);
+    asio::ip::tcp::acceptor Probe(Io, asio::ip::tcp::v4());
+    asio::error_code InUse;
+    Probe.bind({asio::ip::address_v4::loopback(), Port}, InUse);
+    if (!InUse)
       return Port;
   }
 }
