Receive from peers without the library's timeouts

Cause, from the stacks of that hang: three closes wait in nng_close (nng 1.5.2), on threads of their own as intended; but a receiver of another exchange waits in nng_recvmsg although its timeout of 100 ms is long over, and stop() joins it. The library ends timeouts on the threads that such a close holds up.

Change: the receiver waits with poll() on the socket's descriptor and receives without waiting.

--- a/src/pistachioflow/peer/peer_exchange.cpp
+++ b/src/pistachioflow/peer/peer_exchange.cpp
@@ -15,6 +15,7 @@
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
+#include <poll.h>
 
 #include "pistachioflow/base/log.hpp"
 
@@ -24,7 +25,7 @@
 
 constexpr int SendQueueMessages = 8;
 constexpr int ReceiveQueueMessages = 64;
-constexpr nng_duration ReceiveTimeoutMs = 100;
+constexpr int ReceiveTimeoutMs = 100;
 constexpr nng_duration ReconnectMinMs = 200;
 constexpr nng_duration ReconnectMaxMs = 2'000;
 constexpr std::size_t MaxOpenQuestions = 32;
@@ -136,6 +137,7 @@
   };
 
   void run();
+  void waitForMessage() const;
   void receive(std::string_view Bytes);
   void take(const PeerMessage &Message, const LocalStatus &Said);
   void take(const PeerMessage &Message, const ConfigAsked &Asked);
@@ -156,6 +158,7 @@
   const Clock &Time;
   const PeerHandlers Handlers;
   Socket In;
+  int ReceiveFd = -1; ///< Readable while In has a message. Owned by In.
   std::thread Receiver;
   std::atomic<bool> Stopping{false};
 
@@ -180,7 +183,8 @@
   const nng_socket Handle = this->In.get();
   nng_socket_set_size(Handle, NNG_OPT_RECVMAXSZ, MaxPeerMessageBytes);
   nng_socket_set_int(Handle, NNG_OPT_RECVBUF, ReceiveQueueMessages);
-  nng_socket_set_ms(Handle, NNG_OPT_RECVTIMEO, ReceiveTimeoutMs);
+  if (nng_socket_get_int(Handle, NNG_OPT_RECVFD, &this->ReceiveFd) != 0)
+    return Failed;
   nng_listener Listener;
   const std::string Url = urlOf(this->Settings.BindHost, this->Settings.Port);
   if (nng_listen(Handle, Url.c_str(), &Listener, 0) != 0)
@@ -279,15 +283,24 @@
   return this->Counts;
 }
 
+/// Waits for a message for at most ReceiveTimeoutMs. Not by a timeout of the
+/// library: none ends while the close of any socket of the process hangs.
+void PeerExchange::Worker::waitForMessage() const {
+  pollfd Readable{this->ReceiveFd, POLLIN, 0};
+  ::poll(&Readable, 1, ReceiveTimeoutMs);
+}
+
 void PeerExchange::Worker::run() {
   while (!this->Stopping) {
+    this->waitForMessage();
     nng_msg *Message = nullptr;
-    const int Failure = nng_recvmsg(this->In.get(), &Message, 0);
+    const int Failure =
+        nng_recvmsg(this->In.get(), &Message, NNG_FLAG_NONBLOCK);
     if (Failure == 0) {
       this->receive({static_cast<const char *>(nng_msg_body(Message)),
                      nng_msg_len(Message)});
       nng_msg_free(Message);
-    } else if (Failure != NNG_ETIMEDOUT) {
+    } else if (Failure != NNG_EAGAIN) {
       logEvent(LogLevel::Error, "peer_receive_failed",
                {{"message", nng_strerror(Failure)}});
       return;
