--- a/src/pistachioflow/codec/readable_json.cpp
+++ b/src/pistachioflow/base/readable_json.cpp
@@ -1,4 +1,4 @@
-#include "pistachioflow/codec/readable_json.hpp"
+#include "pistachioflow/base/readable_json.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/pistachioflow/platform/store_client.cpp
+++ b/src/pistachioflow/platform/store_client.cpp
@@ -5,8 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "pistachioflow/base/readable_json.hpp"
 #include "pistachioflow/codec/json_reader.hpp"
-#include "pistachioflow/codec/readable_json.hpp"
 
 namespace pistachioflow {
 
