--- a/src/pistachioflow/entry/lease_bounds_test.cpp
+++ b/src/pistachioflow/entry/lease_bounds_test.cpp
@@ -79,6 +79,7 @@
   REQUIRE(holdWait({LeaseMs}) == Duration{WaitMs});
 }
 
+// Guards against a task that runs twice at once, by bounds that don't fit.
 TEST_CASE("a successor never waits less than an owner may grant") {
   const auto LeaseMs = GENERATE(3'000, 6'000, 60'000, 600'000);
   REQUIRE(shortReach({LeaseMs}) <= longReach({LeaseMs}));
--- a/src/pistachioflow/entry/lease_simulation_test.cpp
+++ b/src/pistachioflow/entry/lease_simulation_test.cpp
@@ -336,6 +336,8 @@
 
 } // namespace
 
+// Guards against a task that runs twice at once, by an owner that renews leases
+// without the store for longer than its successor waits.
 TEST_CASE("no two runs of a task overlap, whatever is cut from what") {
   struct Row {
     Rules Played;
--- a/tests/platform/lease_test.cpp
+++ b/tests/platform/lease_test.cpp
@@ -68,6 +68,9 @@
 
 } // namespace
 
+// Guards against a task that runs twice at once: an owner without the store
+// kept the lease of a worker that was cut off with it, beside its successor's
+// start.
 TEST_CASE("a task does not run beside its run on a worker that is cut off "
           "together with the owner") {
   struct Row {
