--- a/src/pistachioflow/entry/journal_state_test.cpp
+++ b/src/pistachioflow/entry/journal_state_test.cpp
@@ -33,6 +33,7 @@
 
 } // namespace
 
+// Guards against a cancelled job that runs, and an expired one that runs again.
 TEST_CASE("a running owner takes from a reload what callers appended") {
   struct Row {
     const char *Description;
--- a/src/pistachioflow/entry/topic_fold_test.cpp
+++ b/src/pistachioflow/entry/topic_fold_test.cpp
@@ -351,6 +351,8 @@
 
 } // namespace
 
+// Guards against completed jobs that run again and cancelled jobs that run, by
+// a journal that is taken for whole too early or applied in the wrong order.
 TEST_CASE("however the journal is read, its state is that of the whole log") {
   constexpr std::uint64_t Seeds = 4'000;
   std::set<std::uint64_t> Failed;
--- a/tests/platform/journal_reload_test.cpp
+++ b/tests/platform/journal_reload_test.cpp
@@ -90,6 +90,8 @@
 
 } // namespace
 
+// Guards against completed jobs that run again: a term began on a part of the
+// journal and later took every job for a new one.
 TEST_CASE("an owner that reads its claim back by a load keeps every job") {
   constexpr std::uint64_t ShortJobs = 6;
   Fleet Fixture(Instances, WorkerCount, 1, folder("claim_reload"));
@@ -122,6 +124,8 @@
   REQUIRE(Violations == std::vector<std::string>{});
 }
 
+// Guards against a cancelled job that runs: the owner read its cancellation
+// before the job and dropped it.
 TEST_CASE("an owner that reads a job and its cancellation by a load does not "
           "run it") {
   Fleet Fixture(Instances, WorkerCount, 1, folder("cancel_reload"));
