--- a/src/pistachioflow/entry/topic_fold_test.cpp
+++ b/src/pistachioflow/entry/topic_fold_test.cpp
@@ -16,7 +16,9 @@
 
 namespace {
 
-constexpr std::int64_t OurEpoch = 2;
+/// The reader owns the epochs with even numbers, another instance the others.
+bool isOurs(std::int64_t Epoch) { return Epoch % 2 == 0; }
+
 constexpr JournalTimes Times{{1'000'000}, 1'000'000, {1'006'000}};
 
 /// The whole content of a journal, with the ends of its appends.
@@ -70,16 +72,13 @@
           encodeRecord(OwnershipRecord{Epoch, "e/1", Heartbeat, false, 100})};
 }
 
-/// Appends as instances do: callers' records at any time, those of an earlier
-/// owner up to our claim.
+/// Appends as instances do: callers' records at any time, claims in turns, and
+/// what the other instance records while it is the owner.
 class LogWriter {
 public:
   LogWriter(JournalLog &Log, Dice &Random) : Log(Log), Random(Random) {}
 
-  void claim() {
-    this->Epoch = OurEpoch;
-    this->Log.append({ownershipRecord(OurEpoch, 0)});
-  }
+  void claim() { this->Log.append({ownershipRecord(++this->Epoch, 0)}); }
 
   void appendAny() {
     const std::size_t Kind = this->Random.below(8);
@@ -89,7 +88,7 @@
       this->cancel(this->Random.pick(this->Jobs));
     else if (Kind == 4)
       this->Log.append({ownershipRecord(this->Epoch, ++this->Heartbeats)});
-    else if (this->Epoch < OurEpoch)
+    else if (!isOurs(this->Epoch))
       this->appendOfOwner(Kind, this->Random.pick(this->Jobs));
   }
 
@@ -141,9 +140,12 @@
   JournalLog Log;
   LogWriter Writer(Log, Random);
   const std::size_t Count = 5 + Random.below(60);
-  const std::size_t ClaimAt = Random.below(Count + Count / 4);
+  const std::size_t Claims = 1 + Random.below(4);
+  std::multiset<std::size_t> ClaimsAt;
+  for (std::size_t Claim = 0; Claim < Claims; ++Claim)
+    ClaimsAt.insert(Random.below(Count + Count / 4));
   for (std::size_t Index = 0; Index < Count; ++Index) {
-    if (Index == ClaimAt)
+    for (std::size_t Left = ClaimsAt.count(Index); Left > 0; --Left)
       Writer.claim();
     Writer.appendAny();
   }
@@ -239,7 +241,7 @@
   JobStatusTable Statuses;
   std::optional<JobTable> Table; ///< Once the term has a state.
   bool IsOwner = false;
-  bool AlwaysWhole = true;
+  bool AlwaysWhole = true; ///< Each load was the journal up to its end.
 
 private:
   void replace(const TopicRecords &Records) {
@@ -272,13 +274,17 @@
 
   void applyOwnership(const JournalRecord &Record) {
     const auto Decoded = decodeRecord<OwnershipRecord>(Record.Value);
-    if (this->IsOwner || Decoded->Epoch != OurEpoch)
+    if (Decoded->Epoch == this->Epoch)
       return;
-    this->IsOwner = true;
-    this->Fold.reload();
+    this->Epoch = Decoded->Epoch;
+    this->Table.reset();
+    this->IsOwner = isOurs(this->Epoch);
+    if (this->IsOwner)
+      this->Fold.reload();
   }
 
   const JournalLog &Log;
+  std::int64_t Epoch = 0;
   TopicFold Fold;
 };
 
@@ -310,6 +316,19 @@
   return Text;
 }
 
+/// The phase that callers should see by the whole journal, and the phase that
+/// the owner acts on.
+std::string expectedPhase(const JobStatusTable &Statuses,
+                          const std::string &Id) {
+  const JobStatusTable::Entry *Entry = Statuses.find(Id);
+  return Entry ? std::string(toString(reportedPhase(*Entry))) : "unknown";
+}
+
+std::string ownerPhase(JobTable &Table, const std::string &Id) {
+  const Job *Entry = Table.find(Id);
+  return Entry ? std::string(toString(Entry->Phase)) : "unknown";
+}
+
 struct Difference {
   std::uint64_t Seed = 0;
   std::string Text;
@@ -341,8 +360,11 @@
   for (const std::string &Id : idsIn(Log)) {
     compare("status of " + Id, describe(Instance.Statuses, Id),
             describe(Statuses, Id));
-    if (Instance.Table)
-      compare("job " + Id, describe(*Instance.Table, Id), describe(Table, Id));
+    if (!Instance.Table)
+      continue;
+    compare("job " + Id, describe(*Instance.Table, Id), describe(Table, Id));
+    compare("phase of " + Id, ownerPhase(*Instance.Table, Id),
+            expectedPhase(Statuses, Id));
   }
   compare("statuses", std::to_string(Instance.Statuses.size()),
           std::to_string(Statuses.size()));
