Let work that has waited long enough use suspended workers

Cause: a worker is suspended for up to 6 s, and then on probation for 1.5 s, after early failures, also where the jobs were at fault; during that it took no work, and no gang on probation.

Now suspension and probation hold a unit back like reservations and racks do: where the service has capacity to spare, or for work that lasts, a unit that fits nowhere else takes such a worker after 2 s. Other workers come first, and a last attempt never goes there, so that a failing worker costs a job one attempt at most in each wait.

'suspended workers are held back from units' plays the rule.

--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -36,12 +36,15 @@
   /// As FreeAfterStops, and once runs expected to end soon have ended.
   Resources FreeAfterExpectedEnds;
   bool Usable = true;
+  /// It lately failed or refused what it was given, perhaps by the fault of the
+  /// jobs. Used only by units with AcceptsSuspended, and after others.
+  bool Suspended = false;
   /// It lately failed, refused or did not answer a start: used only where no
   /// other worker has free capacity.
   bool Deprioritized = false;
   bool Verified = true; ///< A run has lately succeeded on it.
   /// Gets one task at a time, neither gangs nor last attempts, until a run has
-  /// succeeded on it.
+  /// succeeded on it. Units with AcceptsSuspended disregard this.
   bool OnProbation = false;
   /// Urgent work runs on it or did a moment ago. Single tasks of lower priority
   /// go elsewhere, unless more than half of the workers are reserved this way.
@@ -89,6 +92,8 @@
   /// worker that it fits on and that is not reserved for a gang ahead of it.
   bool AcceptsAnyWorker = false;
   bool IgnoresReservations = false; ///< And those that are reserved as well.
+  /// And those that are suspended or on probation. False for last attempts.
+  bool AcceptsSuspended = false;
 };
 
 /// A unit that has been placed. Its texts are views of the caller's.
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -63,8 +63,8 @@
     Worker.FreeAfterExpectedEnds = Worker.FreeNow;
     // The entry of an earlier incarnation may name another capacity.
     Worker.Usable = Link->Listed && Link->Synced && !Link->Entry.Draining &&
-                    answersAs(*Link, Link->IncarnationStartMs) &&
-                    !isSuspended(Link->Trust, View.Now);
+                    answersAs(*Link, Link->IncarnationStartMs);
+    Worker.Suspended = isSuspended(Link->Trust, View.Now);
     Worker.Deprioritized = Link->AvoidedUntil > View.Now;
     Worker.ReservedForUrgent = Link->ReservedForUrgentUntil > View.Now;
     Worker.Verified = isVerified(Link->Trust, View.Now);
@@ -269,6 +269,8 @@
       AtOnce ? InAll : heldBackNow(Waiting.HeldBackTime, View.Now);
   Entry.AcceptsAnyWorker = Counted >= preferenceLimit(Inputs);
   Entry.IgnoresReservations = Counted >= reservationLimit(Inputs);
+  Entry.AcceptsSuspended =
+      AtOnce && Entry.AcceptsAnyWorker && !Entry.LastAttempt;
 }
 
 /// Explains the waits that are due for a log line. \p After are the workers
--- a/src/pistachioflow/entry/planning_faults_test.cpp
+++ b/src/pistachioflow/entry/planning_faults_test.cpp
@@ -133,6 +133,13 @@
   REQUIRE(playSeeds(Seed, Seed, 60) == std::vector<std::string>{});
 }
 
+// Guards against a job that waits beside sound workers that others' faulty jobs
+// have brought under suspicion.
+TEST_CASE("no job waits for workers that faulty jobs got suspended") {
+  const std::uint64_t Seed = GENERATE(39U, 1'570U, 1'768U);
+  REQUIRE(playSeeds(Seed, Seed, 60) == std::vector<std::string>{});
+}
+
 // By hand: entry_tests "[many]", some minutes.
 TEST_CASE("no job waits beside idle workers, many seeds", "[.][many]") {
   const std::int64_t TroubleRounds = GENERATE(40, 60);
--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -15,7 +15,8 @@
   const std::int64_t Fitting =
       std::min(fittingTasks(Available, countedDemand(*Unit.Step)),
                spreadLimit(Worker, Unit));
-  return Worker.OnProbation ? std::min<std::int64_t>(Fitting, 1) : Fitting;
+  const bool OneByOne = Worker.OnProbation && !Unit.AcceptsSuspended;
+  return OneByOne ? std::min<std::int64_t>(Fitting, 1) : Fitting;
 }
 
 bool betterCandidate(const CandidateWorker &Left,
@@ -96,7 +97,8 @@
   if (Worker.ReservedForGroup != NoGroup &&
       Worker.ReservedForGroup != Unit.Group)
     return true;
-  if (Worker.HostsSuspect || (Unit.Suspect && Worker.Occupied))
+  if (Worker.Suspended || Worker.HostsSuspect ||
+      (Unit.Suspect && Worker.Occupied))
     return true;
   return Worker.Deprioritized ||
          (Unit.AvoidedWorkers && Unit.AvoidedWorkers->contains(Worker.Id));
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -66,8 +66,11 @@
         Held(Waiting.size()), Guarantees(std::move(Guarantees)) {
     for (std::size_t Index = 0; Index < Placed.size(); ++Index)
       this->Stopping[Index] = Placed[Index].Stopping;
-    this->AnyReserved =
-        std::ranges::any_of(Workers, &PlacementWorker::ReservedForUrgent);
+    this->MayHoldBack =
+        std::ranges::any_of(Workers, [](const PlacementWorker &Worker) {
+          return Worker.ReservedForUrgent || Worker.Suspended ||
+                 Worker.OnProbation;
+        });
   }
 
   PlacementPlan run() {
@@ -168,15 +171,17 @@
   chooseNow(std::size_t Index, std::span<const std::string_view> Racks) {
     WaitingUnit Unit = this->Waiting[Index];
     Unit.AcceptsAnyWorker = Unit.IgnoresReservations = false;
+    Unit.AcceptsSuspended = false;
     auto Preferred =
         chooseWorkers(this->Workers, Unit, Racks, &PlacementWorker::FreeNow);
-    if (Preferred || (Racks.empty() && !this->AnyReserved))
+    if (Preferred || (Racks.empty() && !this->MayHoldBack))
       return Preferred;
     if (this->Waiting[Index].AcceptsAnyWorker)
       if (auto Accepted = chooseWorkers(this->Workers, this->Waiting[Index], {},
                                         &PlacementWorker::FreeNow))
         return Accepted;
     Unit.AcceptsAnyWorker = Unit.IgnoresReservations = true;
+    Unit.AcceptsSuspended = !Unit.LastAttempt;
     if (chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow))
       this->Plan.HeldBack.push_back(Index);
     return std::nullopt;
@@ -336,7 +341,7 @@
     this->ReservedCount += Indices.size();
     for (const std::size_t Worker : Indices)
       this->Workers[Worker].ReservedThisRound = true;
-    this->AnyReserved = true;
+    this->MayHoldBack = true;
     this->Plan.Reservations.push_back({Index, std::move(Indices)});
   }
 
@@ -413,7 +418,8 @@
   GuaranteeLedger Guarantees;
   BlockedStep LastBlocked;
   std::size_t ReservedCount = 0;
-  bool AnyReserved = false; ///< Some workers are reserved for other work.
+  /// Some workers are reserved for other work, suspended or on probation.
+  bool MayHoldBack = false;
   PlacementPlan Plan;
 };
 
--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -496,6 +496,38 @@
   REQUIRE(Plan.Starts.size() == 2);
 }
 
+TEST_CASE("suspended workers are held back from units, not denied for ever") {
+  struct Row {
+    const char *Name;
+    std::int64_t Tasks;
+    bool Suspended; ///< Otherwise on probation.
+    bool LastAttempt;
+    bool AcceptsSuspended;
+    bool Starts;
+    bool HeldBack;
+  };
+  const auto Case = GENERATE(
+      Row{"a task waits at first", 1, true, false, false, false, true},
+      Row{"and starts in the end", 1, true, false, true, true, false},
+      Row{"a gang waits at first", 2, false, false, false, false, true},
+      Row{"and starts in the end", 2, false, false, true, true, false},
+      Row{"a task may start on probation", 1, false, false, false, true, false},
+      Row{"a last attempt never may", 1, false, true, false, false, false});
+  CAPTURE(Case.Name);
+  std::vector<PlacementWorker> Workers = makeWorkers(1, 1);
+  Workers[0].Suspended = Case.Suspended;
+  Workers[0].OnProbation = true;
+  const StepSpec Step =
+      makeStep(Case.Tasks, {1'000, 100, 1}, Case.Tasks > 1, false);
+  WaitingUnit Unit = makeUnit(Step, 1);
+  Unit.LastAttempt = Case.LastAttempt;
+  Unit.AcceptsAnyWorker = Unit.AcceptsSuspended = Case.AcceptsSuspended;
+  const std::vector<WaitingUnit> Waiting{Unit};
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, {}, {});
+  REQUIRE(Plan.Starts.size() == (Case.Starts ? 1 : 0));
+  REQUIRE(Plan.HeldBack.size() == (Case.HeldBack ? 1 : 0));
+}
+
 TEST_CASE("a member of a gang on several racks moves to any rack") {
   const std::vector<PlacementWorker> Free = makeWorkers(4, 2);
   const auto [Racks, Worker] =
--- a/src/pistachioflow/sched/wait_reason.cpp
+++ b/src/pistachioflow/sched/wait_reason.cpp
@@ -56,6 +56,7 @@
     return WaitReason::Withheld;
   for (PlacementWorker &Worker : Open) {
     Worker.Usable = true;
+    Worker.Suspended = false;
     Worker.OnProbation = false;
   }
   return fitsNow(Open, Unit) ? WaitReason::Workers : WaitReason::Capacity;
--- a/src/pistachioflow/sched/worker_capacity.cpp
+++ b/src/pistachioflow/sched/worker_capacity.cpp
@@ -8,7 +8,10 @@
 bool mayHost(const PlacementWorker &Worker, const WaitingUnit &Unit) {
   if (!Worker.Usable || Worker.Service != Unit.Service)
     return false;
-  if (Worker.OnProbation && (Unit.LastAttempt || Unit.TaskCount > 1))
+  const bool Distrusted =
+      Worker.Suspended ||
+      (Worker.OnProbation && (Unit.LastAttempt || Unit.TaskCount > 1));
+  if (Distrusted && !Unit.AcceptsSuspended)
     return false;
   const std::string &Label = Unit.Step->RequiredLabel;
   return Label.empty() ||
