Add up fitting tasks within the range of their type

As many such tasks fit on a worker as the type holds, less a margin for "a few" additions; a rack of five and more workers overflowed, and a smaller one was no better than no choice at all.

No worker counts for more tasks than the unit has where racks are looked for, nor for more than a million where they are compared.

--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -10,6 +10,10 @@
 
 using WorkerSpan = std::span<const PlacementWorker>;
 
+/// No more tasks than these count on one worker where workers are added up.
+/// Tasks that ask for nothing fit any number of times.
+constexpr std::int64_t MaxCountedTasks = 1'000'000;
+
 std::int64_t tasksFor(const PlacementWorker &Worker, const WaitingUnit &Unit,
                       const Resources &Available) {
   const std::int64_t Fitting =
@@ -129,7 +133,8 @@
   std::map<std::string_view, std::int64_t> TasksByRack;
   for (const PlacementWorker &Worker : Workers)
     if (isEligible(Worker, Unit))
-      TasksByRack[Worker.Rack] += tasksFor(Worker, Unit, Worker.Capacity);
+      TasksByRack[Worker.Rack] +=
+          std::min(tasksFor(Worker, Unit, Worker.Capacity), Unit.TaskCount);
   const std::string &DataRack = Unit.Step->DataRack;
   const auto Data = TasksByRack.find(DataRack);
   const bool DataRackExists =
@@ -161,7 +166,8 @@
     std::vector<CandidateWorker> &Inside = ByRack[Rack];
     std::int64_t FreeTasks = 0;
     for (const CandidateWorker &Entry : Inside)
-      FreeTasks += Entry.Tasks + (Entry.Avoided ? Unit.TaskCount : 0);
+      FreeTasks += std::min(Entry.Tasks, MaxCountedTasks) +
+                   (Entry.Avoided ? Unit.TaskCount : 0);
     if (FreeTasks >= LeastFreeTasks)
       continue;
     std::optional<WorkerChoice> Chosen =
--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -127,6 +127,22 @@
     REQUIRE(Workers[Worker].Rack == (Tasks == 2 ? "r0" : "r1"));
 }
 
+// Guards against a gang that never runs: the tasks that fit were added up
+// beyond the range of the type.
+TEST_CASE(
+    "a tightly coupled gang that asks for nothing is placed on one rack") {
+  const std::size_t PerRack = GENERATE(1U, 2U, 3U, 4U, 5U, 6U, 8U, 20U);
+  CAPTURE(PerRack);
+  auto Workers = makeWorkers(2 * PerRack, PerRack);
+  const StepSpec Step = makeStep(3, {}, true, true);
+  const std::vector<WaitingUnit> Waiting{makeUnit(Step, 0)};
+  const PlacementPlan Plan = planPlacement(Workers, Waiting, {}, {});
+  REQUIRE(Plan.Starts.size() == 1);
+  for (const std::size_t Worker : Plan.Starts[0].WorkerIndices)
+    REQUIRE(Workers[Worker].Rack ==
+            Workers[Plan.Starts[0].WorkerIndices[0]].Rack);
+}
+
 TEST_CASE("urgent work preempts lower priorities with the least lost work") {
   struct Row {
     std::int64_t OtherPriority;
