--- a/src/pistachioflow/sched/placement_test.cpp
+++ b/src/pistachioflow/sched/placement_test.cpp
@@ -8,82 +8,15 @@
 
 #include <catch2/catch.hpp>
 
-namespace pistachioflow {
-
-namespace {
-
-constexpr Resources WholeWorker{64'000, 131'072, 8};
-
-/// Returns \p Prefix followed by \p Number, with static lifetime.
-const std::string &nameOf(const char *Prefix, std::size_t Number) {
-  static std::set<std::string> Names;
-  return *Names.insert(Prefix + std::to_string(Number)).first;
-}
-
-/// A worker's labels, with static lifetime.
-std::span<const std::string> labelsOf(const std::string &Rack) {
-  static std::map<std::string, std::vector<std::string>> Labels;
-  return Labels.try_emplace(Rack, std::vector<std::string>{"a", Rack})
-      .first->second;
-}
+#include "placement_fixture.hpp"
 
-std::vector<PlacementWorker> makeWorkers(std::size_t Count,
-                                         std::size_t PerRack) {
-  std::vector<PlacementWorker> Workers;
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    PlacementWorker Worker;
-    Worker.Id = nameOf("w", Index);
-    Worker.Service = "svc";
-    Worker.Rack = nameOf("r", Index / PerRack);
-    Worker.Labels = labelsOf(nameOf("r", Index / PerRack));
-    Worker.Capacity = WholeWorker;
-    Worker.FreeNow = WholeWorker;
-    Worker.FreeAfterStops = WholeWorker;
-    Worker.FreeAfterExpectedEnds = WholeWorker;
-    Workers.push_back(std::move(Worker));
-  }
-  return Workers;
-}
-
-StepSpec makeStep(std::int64_t Tasks, Resources PerTask, bool Gang,
-                  bool Tight) {
-  StepSpec Step;
-  Step.TaskCount = Tasks;
-  Step.TaskResources = PerTask;
-  Step.Gang = Gang;
-  Step.TightlyCoupled = Tight;
-  return Step;
-}
-
-WaitingUnit makeUnit(const StepSpec &Step, std::int64_t Priority) {
-  WaitingUnit Unit;
-  Unit.Service = "svc";
-  Unit.Workspace = "team";
-  Unit.Priority = Priority;
-  Unit.Step = &Step;
-  Unit.TaskCount = Step.Gang ? Step.TaskCount : 1;
-  return Unit;
-}
-
-/// A unit that occupies each of its workers completely.
-PlacedUnit fillWorkers(std::vector<PlacementWorker> &Workers,
-                       std::vector<std::size_t> On, std::int64_t Priority,
-                       double LostWork) {
-  PlacedUnit Placed;
-  Placed.Workspace = "other";
-  Placed.Priority = Priority;
-  Placed.TaskResources = WholeWorker;
-  Placed.LostWork = LostWork;
-  for (const std::size_t Worker : On) {
-    Workers[Worker].FreeNow = {};
-    Workers[Worker].FreeAfterStops = {};
-    Workers[Worker].FreeAfterExpectedEnds = {};
-  }
-  Placed.WorkerIndices = std::move(On);
-  return Placed;
-}
+namespace pistachioflow {
 
-} // namespace
+using testing::fillWorkers;
+using testing::makeStep;
+using testing::makeUnit;
+using testing::makeWorkers;
+using testing::WholeWorker;
 
 TEST_CASE("fittingTasks is limited by the scarcest resource") {
   struct Row {
@@ -128,7 +61,9 @@
 }
 
 // Guards against a gang that never runs: the tasks that fit were added up
+
 // beyond the range of the type.
+
 TEST_CASE(
     "a tightly coupled gang that asks for nothing is placed on one rack") {
   const std::size_t PerRack = GENERATE(1U, 2U, 3U, 4U, 5U, 6U, 8U, 20U);
@@ -216,29 +151,6 @@
           Case.Worker);
 }
 
-TEST_CASE("a worker on probation does not attract a full queue") {
-  // A worker that fails everything is free again at once while all others are
-  // full: without probation it attracts the whole queue.
-  struct Row {
-    const char *Name;
-    std::int64_t Tasks;
-    bool LastAttempt;
-    std::size_t Starts;
-  };
-  const auto Case = GENERATE(Row{"one task at a time", 1, false, 1},
-                             Row{"not a last attempt", 1, true, 0},
-                             Row{"not a gang", 2, false, 0});
-  CAPTURE(Case.Name);
-  std::vector<PlacementWorker> Workers = makeWorkers(2, 2);
-  Workers[0].FreeNow = Workers[0].FreeAfterStops = {};
-  Workers[1].OnProbation = true;
-  const StepSpec Step = makeStep(Case.Tasks, {1'000, 100, 1}, true, false);
-  WaitingUnit Unit = makeUnit(Step, 1);
-  Unit.LastAttempt = Case.LastAttempt;
-  const std::vector<WaitingUnit> Waiting(4, Unit);
-  REQUIRE(planPlacement(Workers, Waiting, {}, {}).Starts.size() == Case.Starts);
-}
-
 TEST_CASE("work of the same priority is preempted last") {
   // Under a burst of urgent gangs in a full cluster, gangs that have just
   // started are the cheapest to stop and would preempt each other.
@@ -304,30 +216,6 @@
   REQUIRE(Plan.Preemptions.size() == Case.Preempted);
 }
 
-TEST_CASE("single tasks leave workers reserved for urgent gangs") {
-  // Under a burst of urgent gangs in a full cluster, small tasks placed between
-  // two gangs are preempted for the next one.
-  struct Row {
-    const char *Name;
-    std::size_t Reserved;
-    std::int64_t Priority;
-    bool Gang;
-    std::size_t Starts;
-  };
-  const auto Case = GENERATE(Row{"small work goes elsewhere", 2, 2, false, 2},
-                             Row{"too few would be left", 3, 2, false, 4},
-                             Row{"urgent work takes them", 2, 0, false, 4},
-                             Row{"so do gangs", 2, 1, true, 2});
-  CAPTURE(Case.Name);
-  std::vector<PlacementWorker> Workers = makeWorkers(4, 2);
-  for (std::size_t Index = 0; Index < Case.Reserved; ++Index)
-    Workers[Index].ReservedForUrgent = true;
-  const StepSpec Step =
-      makeStep(Case.Gang ? 2 : 1, {1'000, 100, 8}, Case.Gang, false);
-  const std::vector<WaitingUnit> Waiting(4, makeUnit(Step, Case.Priority));
-  REQUIRE(planPlacement(Workers, Waiting, {}, {}).Starts.size() == Case.Starts);
-}
-
 TEST_CASE("a claim that relies on an overdue end is replaced") {
   // Under load on workers of different speeds, some runs end later than their
   // progress suggests. The claim would wait for them with stopped victims.
@@ -472,89 +360,4 @@
   REQUIRE(Plan.Starts.front().WaitingIndex == First);
 }
 
-TEST_CASE("a unit that fits only on another rack is held back at first") {
-  struct Row {
-    const char *Name;
-    bool Gang;
-    bool AcceptsAnyWorker;
-    std::size_t Starts;
-    std::size_t HeldBack;
-  };
-  const auto Case = GENERATE(Row{"a gang prefers one rack", true, false, 0, 1},
-                             Row{"it takes any in the end", true, true, 1, 0},
-                             Row{"tasks prefer their data", false, false, 1, 2},
-                             Row{"and take any in the end", false, true, 3, 0});
-  CAPTURE(Case.Name);
-  std::vector<PlacementWorker> Workers = makeWorkers(4, 2);
-  const std::vector<PlacedUnit> Placed{fillWorkers(Workers, {0}, 1, 0)};
-  StepSpec Step = makeStep(Case.Gang ? 2 : 1, {1'000, 100, 8}, Case.Gang, true);
-  if (Case.Gang)
-    Workers[2].FreeNow = Workers[2].FreeAfterStops = {};
-  else
-    Step.DataRack = "r0";
-  WaitingUnit Unit = makeUnit(Step, 1);
-  Unit.AcceptsAnyWorker = Case.AcceptsAnyWorker;
-  const std::vector<WaitingUnit> Waiting(Case.Gang ? 1 : 3, Unit);
-  const PlacementPlan Plan = planPlacement(Workers, Waiting, Placed, {});
-  REQUIRE(Plan.Starts.size() == Case.Starts);
-  REQUIRE(Plan.HeldBack.size() == Case.HeldBack);
-}
-
-TEST_CASE("a last attempt that waits does not block the tasks of its step") {
-  // It may not start on a worker on probation, which the others may.
-  std::vector<PlacementWorker> Workers = makeWorkers(2, 2);
-  for (PlacementWorker &Worker : Workers)
-    Worker.OnProbation = true;
-  const StepSpec Step = makeStep(1, {1'000, 100, 1}, false, false);
-  std::vector<WaitingUnit> Waiting(3, makeUnit(Step, 1));
-  Waiting[0].LastAttempt = true;
-  const PlacementPlan Plan = planPlacement(Workers, Waiting, {}, {});
-  REQUIRE(Plan.Starts.size() == 2);
-}
-
-TEST_CASE("suspended workers are held back from units, not denied for ever") {
-  struct Row {
-    const char *Name;
-    std::int64_t Tasks;
-    bool Suspended; ///< Otherwise on probation.
-    bool LastAttempt;
-    bool AcceptsSuspended;
-    bool Starts;
-    bool HeldBack;
-  };
-  const auto Case = GENERATE(
-      Row{"a task waits at first", 1, true, false, false, false, true},
-      Row{"and starts in the end", 1, true, false, true, true, false},
-      Row{"a gang waits at first", 2, false, false, false, false, true},
-      Row{"and starts in the end", 2, false, false, true, true, false},
-      Row{"a task may start on probation", 1, false, false, false, true, false},
-      Row{"a last attempt never may", 1, false, true, false, false, false});
-  CAPTURE(Case.Name);
-  std::vector<PlacementWorker> Workers = makeWorkers(1, 1);
-  Workers[0].Suspended = Case.Suspended;
-  Workers[0].OnProbation = true;
-  const StepSpec Step =
-      makeStep(Case.Tasks, {1'000, 100, 1}, Case.Tasks > 1, false);
-  WaitingUnit Unit = makeUnit(Step, 1);
-  Unit.LastAttempt = Case.LastAttempt;
-  Unit.AcceptsAnyWorker = Unit.AcceptsSuspended = Case.AcceptsSuspended;
-  const std::vector<WaitingUnit> Waiting{Unit};
-  const PlacementPlan Plan = planPlacement(Workers, Waiting, {}, {});
-  REQUIRE(Plan.Starts.size() == (Case.Starts ? 1 : 0));
-  REQUIRE(Plan.HeldBack.size() == (Case.HeldBack ? 1 : 0));
-}
-
-TEST_CASE("a member of a gang on several racks moves to any rack") {
-  const std::vector<PlacementWorker> Free = makeWorkers(4, 2);
-  const auto [Racks, Worker] =
-      GENERATE(table<std::vector<std::string_view>, std::size_t>(
-          {{{"r1", "r1"}, 2}, {{"r1", "r0"}, 0}}));
-  std::vector<PlacementWorker> Workers = Free;
-  const bool Tight = GENERATE(true, false);
-  StepSpec Step = makeStep(3, {1'000, 100, 8}, true, Tight);
-  if (!Tight)
-    Step.DataRack = "r1";
-  REQUIRE(planReplacement(Workers, makeUnit(Step, 0), Racks) == Worker);
-}
-
 } // namespace pistachioflow
