--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -36,11 +36,19 @@
 constexpr std::int64_t CrashesToGiveUp = 2;
 constexpr std::int64_t EveryRun = 1'000;
 constexpr Resources SmallCapacity{4'000, 4'000, 3};
+/// Runs of this length also play faults that have to meet at one moment, which
+/// single faults hardly ever do, and tasks that last long enough for them.
+constexpr Duration MinLengthOfMeetingFaults{16'000};
+/// Longer than a successor waits for the leases of an owner that is cut off.
+constexpr Duration OwnerCutTime{14'000};
+constexpr Duration SilentWatchTime{1'000};
+constexpr std::uint64_t LongTaskShare = 4;
 
 class Soak {
 public:
   Soak(Fleet &Daemons, const SoakOptions &Options)
-      : Daemons(Daemons), Options(Options), Random(Options.Seed) {}
+      : Daemons(Daemons), Options(Options), Random(Options.Seed),
+        MeetingFaults(Options.Seed) {}
 
   asio::awaitable<void> run() {
     const std::function<bool()> Owned = [this] {
@@ -50,6 +58,9 @@
       this->Daemons.recordViolation("no owner at the start");
     this->chooseUnguardedWorkers();
     spawnCoroutine(this->Daemons.io(), "soak_clients", this->submitJobs());
+    if (this->playsMeetingFaults())
+      spawnCoroutine(this->Daemons.io(), "soak_meeting_faults",
+                     this->injectMeetingFaults());
     const Instant StartedAt = this->Daemons.Time.monotonic();
     while (this->Daemons.Time.monotonic() - StartedAt < this->Options.Length) {
       this->injectFault();
@@ -141,6 +152,60 @@
     }
   }
 
+  bool playsMeetingFaults() const {
+    return this->Options.Length >= MinLengthOfMeetingFaults;
+  }
+
+  /// Plays one of them, after some work has begun.
+  asio::awaitable<void> injectMeetingFaults() {
+    constexpr std::uint64_t MaxDelayMs = 1'000;
+    const std::uint64_t Which = this->MeetingFaults() % 2;
+    const auto Delay =
+        static_cast<std::int64_t>(this->MeetingFaults() % MaxDelayMs);
+    co_await pauseFor(this->Daemons.io(), Duration{3'000 + Delay});
+    const int Owner = this->Daemons.ownerIndex();
+    if (Owner < 0 || this->Stopping)
+      co_return;
+    if (Which == 0)
+      co_await this->cutOffWithOneWorker(static_cast<std::size_t>(Owner));
+    else
+      co_await this->killWhileHistoryIsForgotten(
+          static_cast<std::size_t>(Owner));
+  }
+
+  /// Parts the owner and one worker from the store and from everybody else.
+  asio::awaitable<void> cutOffWithOneWorker(std::size_t Owner) {
+    PlatformServer &Platform = this->Daemons.Platform;
+    FaultProxy &StoreProxy = *this->Daemons.Members[Owner]->StoreProxy;
+    const std::string Worker = this->workerOfLongTask();
+    Platform.WorkerBehaviour.Cut =
+        Partition{this->Daemons.ownerEpoch(), {Worker}};
+    StoreProxy.setFault(PathFault::Blocked);
+    co_await pauseFor(this->Daemons.io(), OwnerCutTime);
+    Platform.WorkerBehaviour.Cut.reset();
+    StoreProxy.setFault(PathFault::None);
+  }
+
+  /// Returns the worker of the newest long task that runs, or else any worker.
+  std::string workerOfLongTask() {
+    for (auto Task = this->LongTasks.rbegin(); Task != this->LongTasks.rend();
+         ++Task)
+      if (std::string Worker = this->Daemons.Platform.Simulator.workerOf(*Task);
+          !Worker.empty())
+        return Worker;
+    return "w" + std::to_string(this->MeetingFaults() % this->Options.Workers);
+  }
+
+  /// The successor's claim falls into the time in which watches hear nothing.
+  asio::awaitable<void> killWhileHistoryIsForgotten(std::size_t Owner) {
+    PlatformServer &Platform = this->Daemons.Platform;
+    this->Daemons.signalMember(Owner, SIGKILL);
+    co_await pauseFor(this->Daemons.io(), SilentWatchTime);
+    Platform.StoreBehaviour.WatchesSilent = true;
+    co_await pauseFor(this->Daemons.io(), SilentWatchTime);
+    Platform.forgetHistory();
+  }
+
   std::string randomWorker() {
     return "w" + std::to_string(this->randomBelow(this->Options.Workers));
   }
@@ -186,6 +251,10 @@
     while (!this->Stopping) {
       TaskScript Script;
       Script.WorkMs = this->randomDuration(50, 900).Ms;
+      const bool Long =
+          this->playsMeetingFaults() && this->randomBelow(LongTaskShare) == 0;
+      if (Long)
+        Script.WorkMs = this->randomDuration(8'000, 15'000).Ms;
       Script.FailingRuns = this->randomBelow(6) == 0 ? 1 : 0;
       const bool Deadly = this->randomBelow(DeadlyJobShare) == 0;
       Script.CrashingRuns = Deadly ? EveryRun : 0;
@@ -194,6 +263,8 @@
       SubmittedJob Job =
           makeJob(++this->JobNumber, Tasks, this->randomBelow(2) == 0, Script);
       co_await this->Daemons.submit(Job, this->randomMember(), Attempts);
+      if (Long)
+        this->LongTasks.push_back(Job.Tasks.front());
       if (Job.Accepted && this->randomBelow(6) == 0)
         Job.CancelAccepted =
             co_await this->Daemons.cancel(Job.Id, this->randomMember());
@@ -247,6 +318,8 @@
   Fleet &Daemons;
   SoakOptions Options;
   std::mt19937_64 Random;
+  std::vector<std::string> LongTasks;
+  std::mt19937_64 MeetingFaults; ///< Leaves the schedule of the others alone.
   struct SoakJob {
     SubmittedJob Submitted;
     bool Deadly = false; ///< Crashes the workers that start it.
