--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -38,7 +38,7 @@
 constexpr Resources SmallCapacity{4'000, 4'000, 3};
 /// Runs of this length also play faults that have to meet at one moment, which
 /// single faults hardly ever do, and tasks that last long enough for them.
-constexpr Duration MinLengthOfMeetingFaults{16'000};
+constexpr Duration MinCombinedFaultsLength{16'000};
 /// Longer than a successor waits for the leases of an owner that is cut off.
 constexpr Duration OwnerCutTime{14'000};
 constexpr Duration SilentWatchTime{1'000};
@@ -48,7 +48,7 @@
 public:
   Soak(Fleet &Daemons, const SoakOptions &Options)
       : Daemons(Daemons), Options(Options), Random(Options.Seed),
-        MeetingFaults(Options.Seed) {}
+        CombinedRandom(Options.Seed) {}
 
   asio::awaitable<void> run() {
     const std::function<bool()> Owned = [this] {
@@ -58,9 +58,9 @@
       this->Daemons.recordViolation("no owner at the start");
     this->chooseUnguardedWorkers();
     spawnCoroutine(this->Daemons.io(), "soak_clients", this->submitJobs());
-    if (this->playsMeetingFaults())
-      spawnCoroutine(this->Daemons.io(), "soak_meeting_faults",
-                     this->injectMeetingFaults());
+    if (this->playsCombinedFaults())
+      spawnCoroutine(this->Daemons.io(), "soak_combined_faults",
+                     this->injectCombinedFaults());
     const Instant StartedAt = this->Daemons.Time.monotonic();
     while (this->Daemons.Time.monotonic() - StartedAt < this->Options.Length) {
       this->injectFault();
@@ -152,16 +152,16 @@
     }
   }
 
-  bool playsMeetingFaults() const {
-    return this->Options.Length >= MinLengthOfMeetingFaults;
+  bool playsCombinedFaults() const {
+    return this->Options.Length >= MinCombinedFaultsLength;
   }
 
   /// Plays one of them, after some work has begun.
-  asio::awaitable<void> injectMeetingFaults() {
+  asio::awaitable<void> injectCombinedFaults() {
     constexpr std::uint64_t MaxDelayMs = 1'000;
-    const std::uint64_t Which = this->MeetingFaults() % 2;
+    const std::uint64_t Which = this->CombinedRandom() % 2;
     const auto Delay =
-        static_cast<std::int64_t>(this->MeetingFaults() % MaxDelayMs);
+        static_cast<std::int64_t>(this->CombinedRandom() % MaxDelayMs);
     co_await pauseFor(this->Daemons.io(), Duration{3'000 + Delay});
     const int Owner = this->Daemons.ownerIndex();
     if (Owner < 0 || this->Stopping)
@@ -193,7 +193,7 @@
       if (std::string Worker = this->Daemons.Platform.Simulator.workerOf(*Task);
           !Worker.empty())
         return Worker;
-    return "w" + std::to_string(this->MeetingFaults() % this->Options.Workers);
+    return "w" + std::to_string(this->CombinedRandom() % this->Options.Workers);
   }
 
   /// The successor's claim falls into the time in which watches hear nothing.
@@ -252,7 +252,7 @@
       TaskScript Script;
       Script.WorkMs = this->randomDuration(50, 900).Ms;
       const bool Long =
-          this->playsMeetingFaults() && this->randomBelow(LongTaskShare) == 0;
+          this->playsCombinedFaults() && this->randomBelow(LongTaskShare) == 0;
       if (Long)
         Script.WorkMs = this->randomDuration(8'000, 15'000).Ms;
       Script.FailingRuns = this->randomBelow(6) == 0 ? 1 : 0;
@@ -319,7 +319,7 @@
   SoakOptions Options;
   std::mt19937_64 Random;
   std::vector<std::string> LongTasks;
-  std::mt19937_64 MeetingFaults; ///< Leaves the schedule of the others alone.
+  std::mt19937_64 CombinedRandom; ///< Leaves the other schedule alone.
   struct SoakJob {
     SubmittedJob Submitted;
     bool Deadly = false; ///< Crashes the workers that start it.
