--- a/include/pistachioflow/sched/crash_history.hpp
+++ b/include/pistachioflow/sched/crash_history.hpp
@@ -45,6 +45,9 @@
 /// start again.
 bool crashLimitReached(const CrashHistory &History);
 
+/// Whether one more crash may reach that limit.
+bool mayBeLastStart(const CrashHistory &History);
+
 /// Whether one more start stays within the limit even if every suspected crash
 /// was one. A suspicion stops counting after a while.
 bool mayStartAfterCrashes(const CrashHistory &History, Instant Now);
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -34,13 +34,15 @@
   });
 }
 
-/// Whether a run on the worker has just begun that may crash it.
-bool hostsSuspect(const PlanningView &View, const WorkerLink &Link) {
-  const auto Members = View.Table.membersOn(Link.Id);
-  return std::ranges::any_of(Members, [&View](const MemberRef &Ref) {
-    return Ref.ParentUnit->mayCrashWorker() &&
-           View.Now - Ref.ParentUnit->PlacedAt < EarlyCrashWindow;
-  });
+/// Notes runs on the worker that have just begun and may crash it.
+void noteSuspects(const PlanningView &View, PlacementWorker &Worker) {
+  for (const MemberRef &Ref : View.Table.membersOn(Worker.Id)) {
+    const Unit &Placed = *Ref.ParentUnit;
+    if (View.Now - Placed.PlacedAt >= EarlyCrashWindow)
+      continue;
+    Worker.HostsSuspect = Worker.HostsSuspect || Placed.mayCrashWorker();
+    Worker.HostsLastStart = Worker.HostsLastStart || Placed.mayBeLastStart();
+  }
 }
 
 PlaceRecord placeOn(const PlanningView &View, std::string_view Worker) {
@@ -70,7 +72,7 @@
     Worker.Verified = isVerified(Link->Trust, View.Now);
     Worker.OnProbation = isOnProbation(Link->Trust, View.Now);
     Worker.Occupied = !View.Table.membersOn(Id).empty();
-    Worker.HostsSuspect = hostsSuspect(View, *Link);
+    noteSuspects(View, Worker);
     if (Worker.OnProbation)
       Worker.Usable = Worker.Usable && !hasNewRun(View, *Link);
     Workers.push_back(std::move(Worker));
@@ -207,6 +209,7 @@
   Entry.TaskCount = Waiting.TaskCount;
   Entry.AvoidedWorkers = &Waiting.FailedWorkers;
   Entry.Suspect = Waiting.mayCrashWorker();
+  Entry.LastStart = Waiting.mayBeLastStart();
   // By then, stops would have ended instead.
   Entry.ClaimOverdue = !Waiting.Claim.Workers.empty() &&
                        View.Now - Waiting.Claim.At > View.StopTimeout;
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -69,7 +69,7 @@
     this->MayHoldBack =
         std::ranges::any_of(Workers, [](const PlacementWorker &Worker) {
           return Worker.ReservedForUrgent || Worker.Suspended ||
-                 Worker.OnProbation;
+                 Worker.OnProbation || Worker.HostsSuspect;
         });
   }
 
@@ -86,8 +86,12 @@
         continue;
       this->Plan.Blocked.push_back(Index);
       if (!Unit.Step->Gang && Unit.Priority > 0)
-        this->LastBlocked = {Unit.Group, Unit.AcceptsAnyWorker,
-                             Unit.IgnoresReservations, Unit.LastAttempt,
+        this->LastBlocked = {Unit.Group,
+                             Unit.AcceptsAnyWorker,
+                             Unit.IgnoresReservations,
+                             Unit.LastAttempt,
+                             Unit.Suspect,
+                             Unit.LastStart,
                              this->isHeldBack(Index)};
     }
     return std::move(this->Plan);
@@ -100,6 +104,8 @@
     bool AcceptsAnyWorker = false;
     bool IgnoresReservations = false;
     bool LastAttempt = false;
+    bool Suspect = false;
+    bool LastStart = false;
     bool HeldBack = false;
   };
 
@@ -109,7 +115,9 @@
     return Unit.Group == this->LastBlocked.Group &&
            Unit.AcceptsAnyWorker == this->LastBlocked.AcceptsAnyWorker &&
            Unit.IgnoresReservations == this->LastBlocked.IgnoresReservations &&
-           Unit.LastAttempt == this->LastBlocked.LastAttempt;
+           Unit.LastAttempt == this->LastBlocked.LastAttempt &&
+           Unit.Suspect == this->LastBlocked.Suspect &&
+           Unit.LastStart == this->LastBlocked.LastStart;
   }
 
   bool isHeldBack(std::size_t Index) const {
@@ -312,11 +320,13 @@
     if (this->isHeldBack(Index))
       this->Plan.HeldBack.pop_back();
     occupy(this->Workers, Chosen, countedDemand(*Unit.Step));
-    for (const std::size_t Worker : Chosen) {
-      this->Workers[Worker].Occupied = true;
-      this->Workers[Worker].HostsSuspect =
-          this->Workers[Worker].HostsSuspect || Unit.Suspect;
+    for (const std::size_t Place : Chosen) {
+      PlacementWorker &Worker = this->Workers[Place];
+      Worker.Occupied = true;
+      Worker.HostsSuspect = Worker.HostsSuspect || Unit.Suspect;
+      Worker.HostsLastStart = Worker.HostsLastStart || Unit.LastStart;
     }
+    this->MayHoldBack = this->MayHoldBack || Unit.Suspect;
     if (Unit.Priority == 0)
       this->Guarantees.use(Unit.Workspace, acceleratorsOf(Unit));
     this->addToGroup(Index, Chosen);
