--- a/include/pistachioflow/platform_standin/task_simulator.hpp
+++ b/include/pistachioflow/platform_standin/task_simulator.hpp
@@ -61,7 +61,7 @@
   void addWorker(const std::string &Id, Resources Capacity);
   /// Restarts the worker at once as a new incarnation, which knows nothing of
   /// the earlier one. A gang with a member on it breaks.
-  void crash(const std::string &Id);
+  void crash(const std::string &Id, Instant Now);
   /// As crash(), but the worker stays down until RestartDelay has passed.
   void crashForDelay(const std::string &Id, Instant Now);
   /// Whether the worker's process runs. Orders to a worker that is down have no
@@ -70,6 +70,10 @@
   /// Returns since when the worker is down. Precondition: it is.
   Instant downSince(const std::string &Id) const;
 
+  /// Notes that a worker has crashed, or that the owner is cut off from the
+  /// store, so that a gang may stay incomplete by no fault of the owner.
+  void noteDisruption(Instant Now) { this->LastDisruptionAt = Now; }
+
   /// Changes what the worker shows as its capacity. Runs continue.
   void setCapacity(const std::string &Id, Resources Capacity, Instant Now);
   Resources capacity(const std::string &Id) const;
@@ -171,7 +175,7 @@
   std::map<std::string, SimulatedWorker> Workers;
   std::map<std::string, CausedCrashes> CrashesByTask;
   std::map<std::string, std::int64_t> CrashedUnder; ///< Workers, by task.
-  Instant LastCrashAt;
+  Instant LastDisruptionAt;
   std::set<std::string> ExpectedJobs;
   std::map<std::string, std::int64_t> DoneCounts;
   std::vector<std::string> Violations;
--- a/src/pistachioflow/platform_standin/task_simulator.cpp
+++ b/src/pistachioflow/platform_standin/task_simulator.cpp
@@ -239,10 +239,11 @@
       if (How == RunOutcome::Unknown)
         continue;
       // A worker that crashed has taken a member of the gang, or kept one from
-      // starting.
+      // starting; an owner that can't record where a refused member moves to
+      // can't start it there.
       const bool Excused =
-          this->LastCrashAt.Ms != 0 &&
-          this->LastCrashAt + this->Limits.RestartDelay >= Entry.ArrivedAt;
+          this->LastDisruptionAt.Ms != 0 &&
+          this->LastDisruptionAt + this->Limits.RestartDelay >= Entry.ArrivedAt;
       if (How == RunOutcome::GangIncomplete && !Excused)
         this->recordViolation("gang member timed out waiting for its gang: " +
                               Task);
--- a/src/pistachioflow/platform_standin/task_simulator_test.cpp
+++ b/src/pistachioflow/platform_standin/task_simulator_test.cpp
@@ -123,4 +123,28 @@
   REQUIRE(Fixture.Simulator.violations().empty() == !Case.Violation);
 }
 
+TEST_CASE("a gang that waits in vain is a violation unless something else kept "
+          "it incomplete") {
+  enum class Before { Nothing, Crash, CutOffOwner, OldCrash };
+  const auto [What, Violations] =
+      GENERATE(table<Before, std::size_t>({{Before::Nothing, 1},
+                                           {Before::Crash, 0},
+                                           {Before::CutOffOwner, 0},
+                                           {Before::OldCrash, 1}}));
+  SimulatorFixture Fixture;
+  Fixture.Simulator.addWorker("other", WorkerCapacity);
+  const SimulatorLimits Limits;
+  if (What == Before::OldCrash) {
+    Fixture.Simulator.crash("other", Fixture.Now);
+    Fixture.pass(Limits.RestartDelay + Duration{1});
+  }
+  REQUIRE(Fixture.start(Task, 1, "gang=2") == OrderOutcome::Accepted);
+  if (What == Before::Crash)
+    Fixture.Simulator.crash("other", Fixture.Now);
+  if (What == Before::CutOffOwner)
+    Fixture.Simulator.noteDisruption(Fixture.Now);
+  Fixture.pass(Limits.GangTimeout);
+  REQUIRE(Fixture.Simulator.violations().size() == Violations);
+}
+
 } // namespace pistachioflow
