Look for suspects on a lost worker once

exposedMembers() compared each member with each other one, and is asked at each failed hold of a silent worker. Same results: sched_tests (800 assertions) and entry_tests (1,616) pass.

--- a/src/pistachioflow/sched/job_table_crashes.cpp
+++ b/src/pistachioflow/sched/job_table_crashes.cpp
@@ -41,19 +41,19 @@
 std::vector<JobTable::ExposedMember>
 JobTable::exposedMembers(std::string_view Worker) const {
   std::vector<ExposedMember> Result;
-  const std::span<const MemberRef> Members = this->membersOn(Worker);
-  for (const MemberRef &Ref : Members) {
+  std::vector<const Job *> JobsOfSuspects;
+  for (const MemberRef &Ref : this->membersOn(Worker)) {
     if (Ref.Index >= Ref.ParentUnit->Members.size())
       continue;
-    const bool Shared =
-        std::ranges::any_of(Members, [&Ref](const MemberRef &Other) {
-          const Unit &Peer = *Other.ParentUnit;
-          return Peer.ParentJob != Ref.ParentUnit->ParentJob &&
-                 Peer.mayCrashWorker() && Other.Index < Peer.Members.size() &&
-                 wasSent(Other.member());
-        });
-    Result.push_back({Ref, Shared});
+    Result.push_back({Ref});
+    if (Ref.ParentUnit->mayCrashWorker() && wasSent(Ref.member()))
+      JobsOfSuspects.push_back(Ref.ParentUnit->ParentJob);
   }
+  for (ExposedMember &Exposed : Result)
+    Exposed.Shared =
+        std::ranges::any_of(JobsOfSuspects, [&Exposed](const Job *Other) {
+          return Other != Exposed.Ref.ParentUnit->ParentJob;
+        });
   return Result;
 }
 
