Search a second time only for units that suspects may keep apart

Only units that suspects can keep from workers need that look; the others get the same answer without it.

--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -38,9 +38,11 @@
 void noteSuspects(const PlanningView &View, PlacementWorker &Worker) {
   for (const MemberRef &Ref : View.Table.membersOn(Worker.Id)) {
     const Unit &Placed = *Ref.ParentUnit;
-    if (View.Now - Placed.PlacedAt >= EarlyCrashWindow)
+    const bool Suspect = Placed.mayCrashWorker() &&
+                         View.Now - Placed.PlacedAt < EarlyCrashWindow;
+    if (!Suspect)
       continue;
-    Worker.HostsSuspect = Worker.HostsSuspect || Placed.mayCrashWorker();
+    Worker.HostsSuspect = true;
     Worker.HostsLastStart = Worker.HostsLastStart || Placed.mayBeLastStart();
   }
 }
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -69,8 +69,10 @@
     this->MayHoldBack =
         std::ranges::any_of(Workers, [](const PlacementWorker &Worker) {
           return Worker.ReservedForUrgent || Worker.Suspended ||
-                 Worker.OnProbation || Worker.HostsSuspect;
+                 Worker.OnProbation;
         });
+    this->AnyHostsLastStart =
+        std::ranges::any_of(Workers, &PlacementWorker::HostsLastStart);
   }
 
   PlacementPlan run() {
@@ -90,8 +92,8 @@
                              Unit.AcceptsAnyWorker,
                              Unit.IgnoresReservations,
                              Unit.LastAttempt,
-                             Unit.Suspect,
                              Unit.LastStart,
+                             this->isKeptApart(Unit),
                              this->isHeldBack(Index)};
     }
     return std::move(this->Plan);
@@ -104,8 +106,8 @@
     bool AcceptsAnyWorker = false;
     bool IgnoresReservations = false;
     bool LastAttempt = false;
-    bool Suspect = false;
     bool LastStart = false;
+    bool KeptApart = false;
     bool HeldBack = false;
   };
 
@@ -116,8 +118,13 @@
            Unit.AcceptsAnyWorker == this->LastBlocked.AcceptsAnyWorker &&
            Unit.IgnoresReservations == this->LastBlocked.IgnoresReservations &&
            Unit.LastAttempt == this->LastBlocked.LastAttempt &&
-           Unit.Suspect == this->LastBlocked.Suspect &&
-           Unit.LastStart == this->LastBlocked.LastStart;
+           Unit.LastStart == this->LastBlocked.LastStart &&
+           this->isKeptApart(Unit) == this->LastBlocked.KeptApart;
+  }
+
+  /// Whether suspects on free workers may keep the unit from them.
+  bool isKeptApart(const WaitingUnit &Unit) const {
+    return Unit.LastStart || (Unit.Suspect && this->AnyHostsLastStart);
   }
 
   bool isHeldBack(std::size_t Index) const {
@@ -182,7 +189,9 @@
     Unit.AcceptsSuspended = false;
     auto Preferred =
         chooseWorkers(this->Workers, Unit, Racks, &PlacementWorker::FreeNow);
-    if (Preferred || (Racks.empty() && !this->MayHoldBack))
+    const bool MayBeHeldBack =
+        !Racks.empty() || this->MayHoldBack || this->isKeptApart(Unit);
+    if (Preferred || !MayBeHeldBack)
       return Preferred;
     if (this->Waiting[Index].AcceptsAnyWorker)
       if (auto Accepted = chooseWorkers(this->Workers, this->Waiting[Index], {},
@@ -326,7 +335,7 @@
       Worker.HostsSuspect = Worker.HostsSuspect || Unit.Suspect;
       Worker.HostsLastStart = Worker.HostsLastStart || Unit.LastStart;
     }
-    this->MayHoldBack = this->MayHoldBack || Unit.Suspect;
+    this->AnyHostsLastStart = this->AnyHostsLastStart || Unit.LastStart;
     if (Unit.Priority == 0)
       this->Guarantees.use(Unit.Workspace, acceleratorsOf(Unit));
     this->addToGroup(Index, Chosen);
@@ -430,6 +439,7 @@
   std::size_t ReservedCount = 0;
   /// Some workers are reserved for other work, suspended or on probation.
   bool MayHoldBack = false;
+  bool AnyHostsLastStart = false; ///< Of the workers.
   PlacementPlan Plan;
 };
 
