Count runs of jobs that ended under an earlier owner against their worker

Cause: after a take-over the table holds ended jobs without units, so that neededBy() counted their runs, which were still being stopped, as nothing. It now takes the needs from the step of the submission.

The new test fails without it, in 3 of 4 rows (1 == 0 starts).

--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -312,6 +312,7 @@
   };
 
   TaskLocation findTask(std::string_view Task);
+  const StepSpec *stepOf(std::string_view Task);
   Unit *findUnit(std::string_view UnitName);
   void openOccurrence(Job &Job, std::int64_t Number);
   void unlockSteps(Job &Job, Occurrence &Occurrence, Instant Now);
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -515,9 +515,21 @@
 Resources JobTable::neededBy(std::span<const RunningTask> Runs) {
   Resources Used;
   for (const RunningTask &Run : Runs)
-    if (const TaskLocation Place = this->findTask(Run.Task); Place.ParentUnit)
-      Used = plus(Used, countedResources(Place.ParentUnit->spec()));
+    if (const StepSpec *Step = this->stepOf(Run.Task))
+      Used = plus(Used, countedResources(*Step));
   return Used;
 }
 
+/// Returns a task's step, also if its job ended before this table was built and
+/// so has no units; null if the job is unknown.
+const StepSpec *JobTable::stepOf(std::string_view Task) {
+  const TaskName Name = parseTaskName(Task);
+  const Job *Job = this->find(Name.JobId);
+  if (!Job || Name.Step < 0)
+    return nullptr;
+  const std::vector<StepSpec> &Steps = Job->Submission.Job.Steps;
+  const auto Index = static_cast<std::size_t>(Name.Step);
+  return Index < Steps.size() ? &Steps[Index] : nullptr;
+}
+
 } // namespace pistachioflow
