Bound the starts that one round decides

Cause: the owner decided on 2,905 waiting tasks in one round of 1,436 ms, sent no heartbeat meanwhile and was replaced after 1,200 ms; its successor had the same round before it. A log of rounds shows thirteen owners in 20 s.

A round now begins no further unit once it has started 256 tasks, and the next one follows by itself, in the same order of ranks. Units that fit nowhere cost no part of the bound, so that none is starved by it.

--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -70,7 +70,7 @@
   void unlistWorkers();
   void runRound();
   PlanningView planningView(OwnershipTerm &Term, Instant Now) const;
-  void placeUnits(OwnershipTerm &Term);
+  bool placeUnits(OwnershipTerm &Term);
   void sendStops(const TermPtr &Term);
   void preemptOnDrainingWorkers(OwnershipTerm &Term);
   void moveRefusedMembers(OwnershipTerm &Term);
--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -73,6 +73,7 @@
   std::vector<Unit *> HeldBack;    ///< Kept from free workers by preferences.
   std::vector<LongWait> LongWaits; ///< Those that are due for a log line.
   std::size_t Waiting = 0;
+  bool Incomplete = false; ///< The next round has to follow without an event.
 };
 
 /// New workers for refused gang members.
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -23,6 +23,11 @@
 /// Marks the absence of a group of units.
 inline constexpr std::size_t NoGroup = std::numeric_limits<std::size_t>::max();
 
+/// A round begins no further unit once it has started this many tasks. An owner
+/// does nothing else during a round, so that a longer one would delay its
+/// heartbeats until another instance takes over.
+inline constexpr std::size_t MaxStartsPerRound = 256;
+
 /// State of one worker in a placement round. Its texts are views of the
 /// caller's, since a round describes every worker.
 struct PlacementWorker {
@@ -149,6 +154,9 @@
   std::vector<std::size_t> Blocked; ///< Indices of waiting units.
   /// Waiting units that only their preferences keep from free workers.
   std::vector<std::size_t> HeldBack;
+  /// MaxStartsPerRound was reached: the units that are in none of the lists are
+  /// left to the next round.
+  bool Incomplete = false;
 };
 
 /// Whether the worker may run tasks of the unit, regardless of free capacity.
@@ -172,8 +180,9 @@
 /// priorities and, within its guarantee, workspaces beyond theirs; the victims
 /// are those that lose the least work. The unit then claims what the victims
 /// release, whatever is ranked before it in later rounds: without the claim, a
-/// full queue of urgent gangs preempts the same work again and again. Thread
-/// safety: pure.
+/// full queue of urgent gangs preempts the same work again and again. A full
+/// queue that meets an empty cluster is placed in several rounds, in the same
+/// order. Thread safety: pure.
 PlacementPlan planPlacement(std::span<PlacementWorker> Workers,
                             std::span<const WaitingUnit> Waiting,
                             std::span<const PlacedUnit> Placed,
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -145,13 +145,15 @@
   this->preemptOnDrainingWorkers(*Term);
   this->moveRefusedMembers(*Term);
   reserveForUrgent(this->planningView(*Term, this->Time.monotonic()));
-  this->placeUnits(*Term);
+  const bool Complete = this->placeUnits(*Term);
   this->sendStops(Term);
   this->logEvents(*Term);
   if (!Term->Flushing)
     spawnCoroutine(this->Io, "flush", this->flush(Term));
   this->LastRoundTime = this->Time.monotonic() - StartedAt;
   entryMetrics().RoundMs.record(static_cast<double>(this->LastRoundTime.Ms));
+  if (!Complete)
+    this->requestRound();
 }
 
 PlanningView Dispatcher::planningView(OwnershipTerm &Term, Instant Now) const {
@@ -167,13 +169,15 @@
           this->Settings.RemotePenalty};
 }
 
-void Dispatcher::placeUnits(OwnershipTerm &Term) {
+/// Places waiting units. Returns whether all of them were considered.
+bool Dispatcher::placeUnits(OwnershipTerm &Term) {
   const Instant Now = this->Time.monotonic();
   const PlanningResult Plan = planRound(this->planningView(Term, Now));
   entryMetrics().UnitsWaiting.set(
       static_cast<std::int64_t>(Plan.Waiting - Plan.Starts.size()));
   entryMetrics().Preemptions.add(Plan.Preemptions.size());
   applyPlan(Term.Table, Plan, Now);
+  return !Plan.Incomplete;
 }
 
 void Dispatcher::moveRefusedMembers(OwnershipTerm &Term) {
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -448,6 +448,7 @@
   applyEarlierReservations(View, Units, Waiting, Workers);
   const PlacementPlan Plan =
       planPlacement(Workers, Waiting, Placed, guaranteeUses(View, Active));
+  Result.Incomplete = Plan.Incomplete;
   for (const std::size_t Index : Plan.HeldBack)
     Result.HeldBack.push_back(Units[Index]);
   Result.LongWaits = explainLongWaits(View, Plan, Units, Waiting, Workers);
@@ -502,7 +503,9 @@
     Table.place(*Start.Placed, Start.Places, Now);
   for (const UnitReservation &Entry : Plan.Reservations)
     Table.reserve(*Entry.Beneficiary, Entry.Workers, Now);
-  Table.noteHeldBack(Plan.HeldBack, Now);
+  // Of undecided units it is not known what holds them back.
+  if (!Plan.Incomplete)
+    Table.noteHeldBack(Plan.HeldBack, Now);
   for (const LongWait &Entry : Plan.LongWaits)
     Table.noteWait(*Entry.Waiting, toString(Entry.Reason), Now);
   for (const UnitPreemption &Entry : Plan.Preemptions)
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -76,6 +76,10 @@
   PlacementPlan run() {
     this->holdClaims();
     for (const std::size_t Index : this->order()) {
+      if (this->StartedTasks >= MaxStartsPerRound) {
+        this->Plan.Incomplete = true;
+        break;
+      }
       const WaitingUnit &Unit = this->Waiting[Index];
       if (this->isBlockedWithGroup(Unit)) {
         if (this->LastBlocked.HeldBack)
@@ -320,6 +324,7 @@
     if (Unit.Priority == 0)
       this->Guarantees.use(Unit.Workspace, acceleratorsOf(Unit));
     this->addToGroup(Index, Chosen);
+    this->StartedTasks += Chosen.size();
     this->Plan.Starts.push_back({Index, std::move(Chosen)});
   }
 
@@ -418,6 +423,7 @@
   GuaranteeLedger Guarantees;
   BlockedStep LastBlocked;
   std::size_t ReservedCount = 0;
+  std::size_t StartedTasks = 0;
   /// Some workers are reserved for other work, suspended or on probation.
   bool MayHoldBack = false;
   PlacementPlan Plan;
