Gather changes for as long as the latest round took

The comment promised half.

The pause is now as long as the latest round, up to 250 ms, in a function of its own.

--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -8,16 +8,12 @@
 #include "pistachioflow/base/log.hpp"
 #include "pistachioflow/entry/dispatcher_ownership_term.hpp"
 #include "pistachioflow/entry/metrics.hpp"
+#include "pistachioflow/entry/round_pacing.hpp"
 
 namespace pistachioflow {
 
 namespace {
 
-/// Changes within this time share one scheduling round. After a round that
-/// took longer, changes are gathered for as long as it took: rounds of a full
-/// queue leave half of the processor to starts, stops and polls.
-constexpr Duration MinRoundDelay{1};
-constexpr Duration MaxRoundDelay{25};
 /// Interval of the checks for due occurrences, draining workers and expired
 /// jobs.
 constexpr Duration PeriodicInterval{100};
@@ -128,8 +124,7 @@
   if (this->RoundRequested || !this->CurrentTerm || this->CurrentTerm->Loading)
     return;
   this->RoundRequested = true;
-  const Duration Delay =
-      std::clamp(this->LastRoundTime, MinRoundDelay, MaxRoundDelay);
+  const Duration Delay = gatheringTime(this->LastRoundTime);
   this->RoundTimer.expires_after(std::chrono::milliseconds(Delay.Ms));
   this->RoundTimer.async_wait([this](asio::error_code Cancelled) {
     this->RoundRequested = false;
