Look at one rack's workers where only they may be used

A preemption on one rack walked over all workers for each task and each of the racks, and a single task near its data added up every rack. Decisions are the same; sched_tests and entry_tests pass.

--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -54,6 +54,15 @@
   return Result;
 }
 
+/// Whether a task of the unit would fit on an empty worker of the rack.
+bool hasEligibleWorker(WorkerSpan Workers, const WaitingUnit &Unit,
+                       std::string_view Rack) {
+  return std::ranges::any_of(Workers, [&](const PlacementWorker &Worker) {
+    return Worker.Rack == Rack && isEligible(Worker, Unit) &&
+           tasksFor(Worker, Unit, Worker.Capacity) > 0;
+  });
+}
+
 /// Assigns tasks to the best candidates until every task has a worker. Sorts
 /// only where it has to: most units of a full queue don't fit.
 std::optional<WorkerChoice> fill(std::vector<CandidateWorker> Candidates,
@@ -130,6 +139,10 @@
       Unit.Step->Gang && Unit.Step->TightlyCoupled && Unit.TaskCount > 1;
   if (!OneRack && Unit.Step->DataRack.empty())
     return {};
+  if (!Unit.Step->Gang)
+    return hasEligibleWorker(Workers, Unit, Unit.Step->DataRack)
+               ? std::vector<std::string_view>{Unit.Step->DataRack}
+               : std::vector<std::string_view>{};
   std::map<std::string_view, std::int64_t> TasksByRack;
   for (const PlacementWorker &Worker : Workers)
     if (isEligible(Worker, Unit))
@@ -137,9 +150,9 @@
           std::min(tasksFor(Worker, Unit, Worker.Capacity), Unit.TaskCount);
   const std::string &DataRack = Unit.Step->DataRack;
   const auto Data = TasksByRack.find(DataRack);
-  const bool DataRackExists =
-      !DataRack.empty() && Data != TasksByRack.end() && Data->second > 0;
-  if (DataRackExists && (!Unit.Step->Gang || Data->second >= Unit.TaskCount))
+  const bool DataRackFits = !DataRack.empty() && Data != TasksByRack.end() &&
+                            Data->second >= Unit.TaskCount;
+  if (DataRackFits)
     return {DataRack};
   if (!OneRack)
     return {};
--- a/src/pistachioflow/sched/preemption.cpp
+++ b/src/pistachioflow/sched/preemption.cpp
@@ -33,6 +33,7 @@
   /// empty means any rack.
   std::optional<Preemption> plan(std::string_view Rack) const {
     Preemption Planned;
+    const std::vector<std::size_t> Eligible = this->eligibleWorkers(Rack);
     std::vector<Resources> Available;
     for (const PlacementWorker &Worker : this->Workers)
       Available.push_back(this->Unit.WaitsForExpectedEnds
@@ -41,7 +42,7 @@
     std::vector<std::int64_t> TasksOn(this->Workers.size(), 0);
     while (static_cast<std::int64_t>(Planned.Chosen.size()) <
            this->Unit.TaskCount)
-      if (!this->placeTask(Rack, Available, TasksOn, Planned))
+      if (!this->placeTask(Eligible, Available, TasksOn, Planned))
         return std::nullopt;
     return Planned;
   }
@@ -127,16 +128,23 @@
     return Result;
   }
 
-  bool placeTask(std::string_view Rack, std::vector<Resources> &Available,
+  /// Returns the workers that the unit may use; an empty rack means all racks.
+  std::vector<std::size_t> eligibleWorkers(std::string_view Rack) const {
+    std::vector<std::size_t> Eligible;
+    for (std::size_t Worker = 0; Worker < this->Workers.size(); ++Worker)
+      if ((Rack.empty() || this->Workers[Worker].Rack == Rack) &&
+          isEligible(this->Workers[Worker], this->Unit))
+        Eligible.push_back(Worker);
+    return Eligible;
+  }
+
+  bool placeTask(std::span<const std::size_t> Eligible,
+                 std::vector<Resources> &Available,
                  std::vector<std::int64_t> &TasksOn,
                  Preemption &Planned) const {
     Step Best;
-    for (std::size_t Worker = 0; Worker < this->Workers.size(); ++Worker) {
-      const bool Allowed =
-          isEligible(this->Workers[Worker], this->Unit) &&
-          (Rack.empty() || this->Workers[Worker].Rack == Rack) &&
-          TasksOn[Worker] < spreadLimit(this->Workers[Worker], this->Unit);
-      if (!Allowed)
+    for (const std::size_t Worker : Eligible) {
+      if (TasksOn[Worker] >= spreadLimit(this->Workers[Worker], this->Unit))
         continue;
       Step Result = this->cheapestOn(Worker, Available[Worker], Planned);
       if (Result.Cost < Best.Cost ||
