Move the names of tasks to a module, and use one sum of resources

The table parsed task names among its own state, and had a second sum of resources and a second demand of a task beside the placement's.

--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -1,62 +1,13 @@
 #include "pistachioflow/sched/job_table.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
-namespace pistachioflow {
+#include "candidate_workers.hpp"
+#include "pistachioflow/sched/placement.hpp"
+#include "task_name.hpp"
 
-namespace {
-
-/// The parts of a task's name, ID.K.STEP.INDEX. A gang's name has no index;
-/// missing or malformed numbers are -1.
-struct TaskName {
-  std::string_view JobId;
-  std::int64_t Occurrence = -1;
-  std::int64_t Step = -1;
-  std::int64_t Index = -1;
-};
-
-std::int64_t parseNumber(std::string_view &Rest) {
-  if (!Rest.starts_with('.'))
-    return -1;
-  Rest.remove_prefix(1);
-  std::int64_t Number = -1;
-  const auto Read =
-      std::from_chars(Rest.data(), Rest.data() + Rest.size(), Number);
-  if (Read.ec != std::errc() || Number < 0)
-    return -1;
-  Rest.remove_prefix(static_cast<std::size_t>(Read.ptr - Rest.data()));
-  return Number;
-}
-
-TaskName parseTaskName(std::string_view Name) {
-  const auto Dot = std::min(Name.find('.'), Name.size());
-  std::string_view Rest = Name.substr(Dot);
-  TaskName Parsed{Name.substr(0, Dot)};
-  Parsed.Occurrence = parseNumber(Rest);
-  Parsed.Step = parseNumber(Rest);
-  if (!Rest.empty())
-    Parsed.Index = parseNumber(Rest);
-  return Parsed;
-}
-
-/// What a task of the step counts against its worker's capacity.
-Resources countedResources(const StepSpec &Step) {
-  Resources Each = Step.TaskResources;
-  if (Step.FillsIdleCpu)
-    Each.MilliCores = 0;
-  return Each;
-}
-
-Resources plus(Resources Left, const Resources &Right) {
-  Left.MilliCores += Right.MilliCores;
-  Left.MemoryMb += Right.MemoryMb;
-  Left.Accelerators += Right.Accelerators;
-  return Left;
-}
-
-} // namespace
+namespace pistachioflow {
 
 const StepSpec &Unit::spec() const {
   return this->ParentJob->Submission.Job.Steps[this->Step];
@@ -508,7 +459,7 @@
 Resources JobTable::occupiedCapacity(std::string_view Worker) const {
   Resources Used;
   for (const MemberRef &Ref : this->membersOn(Worker))
-    Used = plus(Used, countedResources(Ref.ParentUnit->spec()));
+    Used = Used + countedDemand(Ref.ParentUnit->spec());
   return Used;
 }
 
@@ -516,7 +467,7 @@
   Resources Used;
   for (const RunningTask &Run : Runs)
     if (const StepSpec *Step = this->stepOf(Run.Task))
-      Used = plus(Used, countedResources(*Step));
+      Used = Used + countedDemand(*Step);
   return Used;
 }
 
