Tell whose crash it was before a job is given up

Cause: every crash of a worker counted against all that had been started on it, whoever else was there. A gang was placed beside deadly tasks three times in a row and given up after the fourth crash, without having run on three of the workers.

A crash beside a suspect of another job now reaches only the limit of five, which the platform allows; 'worker_crashed' says so.

The new test fails without the change in 4 of 8 rows and passes with it.

--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -171,7 +171,8 @@
   /// @{
   std::int64_t IncarnationBefore = 0;
   std::int64_t IncarnationAfter = 0;
-  std::int64_t Crashes = 0; ///< Of workers under the task, with this one.
+  std::int64_t Crashes = 0;  ///< Of workers under the task, with this one.
+  bool SharedWorker = false; ///< With suspects of other jobs.
   /// @}
 };
 
@@ -310,6 +311,11 @@
     Unit *ParentUnit = nullptr;
     std::size_t Index = 0;
   };
+  /// A member on a worker that was lost.
+  struct ExposedMember {
+    MemberRef Ref;
+    bool Shared = false; ///< A suspect of another job was there as well.
+  };
 
   TaskLocation findTask(std::string_view Task);
   const StepSpec *stepOf(std::string_view Task);
@@ -324,9 +330,10 @@
                 std::int64_t WallMs);
   void applyLateEnd(Unit &Unit, std::string_view Worker, const EndedRun &End,
                     Instant Now, std::int64_t WallMs);
-  void recordCrash(Unit &Unit, std::size_t Index, std::int64_t IncarnationAfter,
+  std::vector<ExposedMember> exposedMembers(std::string_view Worker) const;
+  void recordCrash(const ExposedMember &Exposed, std::int64_t IncarnationAfter,
                    Instant Now, std::int64_t WallMs);
-  void suspectCrash(Unit &Unit, std::size_t Index, Instant Now);
+  void suspectCrash(const ExposedMember &Exposed, Instant Now);
   void settleSuspicions(std::string_view Worker,
                         std::int64_t IncarnationStartMs, Instant Now,
                         std::int64_t WallMs);
--- a/include/pistachioflow/sched/records.hpp
+++ b/include/pistachioflow/sched/records.hpp
@@ -93,8 +93,11 @@
   CrashEvidence Evidence = CrashEvidence::Unconfirmed;
   /// The worker was lost and has not returned: it may have been cut off only.
   bool Suspected = false;
+  /// A suspect of another job was on the worker: it may be what crashed it.
+  bool Shared = false;
 
-  MSGPACK_DEFINE(Worker, IncarnationStartMs, Run, Member, Evidence, Suspected)
+  MSGPACK_DEFINE(Worker, IncarnationStartMs, Run, Member, Evidence, Suspected,
+                 Shared)
 };
 
 /// A single task or a gang: its newest run and the state retained across runs.
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -78,6 +78,7 @@
             {"worker", Event.Worker},
             {"evidence", Event.Detail},
             {"crashes", Event.Crashes},
+            {"shared", Event.SharedWorker},
             {"incarnation_before", Event.IncarnationBefore},
             {"incarnation_after", Event.IncarnationAfter},
             {"epoch", Epoch}});
--- a/src/pistachioflow/sched/job_table_crash_test.cpp
+++ b/src/pistachioflow/sched/job_table_crash_test.cpp
@@ -152,6 +152,55 @@
   REQUIRE((Fixture.phase() == JobPhase::Failed) == SameTask);
 }
 
+// Guards against innocent jobs that are shown as failed: they had started four
+// times on the worker of a task that crashed it each time.
+TEST_CASE("a job is not given up while its crashes may be another job's") {
+  struct Row {
+    const char *Name;
+    std::vector<bool> BesideSuspect; ///< Each of its runs, all of which crash.
+    bool Confirmed;
+    bool GivenUp; ///< After the last of them, and not before.
+  };
+  const auto Case = GENERATE(
+      Row{"alone", {false, false, false, false}, false, true},
+      Row{"beside a suspect once", {false, true, false, false}, false, false},
+      Row{"its own after that",
+          {false, true, false, false, false},
+          false,
+          true},
+      Row{"each time", {true, true, true, true}, false, false},
+      Row{"too often", {true, true, true, true, true}, false, true},
+      Row{"early, alone", {false, false, false}, true, true},
+      Row{"early, beside a suspect", {true, true}, true, false},
+      Row{"early, beside a suspect too often", {true, true, true}, true, true});
+  CAPTURE(Case.Name);
+  const std::string OtherId = "00000000000000bb";
+  CrashFixture Fixture({makeStep(1, false)});
+  Fixture.Table.addSubmission(OtherId, makeSubmission({makeStep(1, false)}),
+                              Fixture.Now, 1'000);
+  Fixture.Table.unlockDueSteps(Fixture.Now, 1'000);
+  Fixture.Now = Fixture.Now + Duration{10'000};
+  std::vector<Unit *> Units = Fixture.Table.placeable(Fixture.Now);
+  REQUIRE(Units.size() == 2);
+  std::ranges::sort(Units, {}, &Unit::name);
+  Unit &Innocent = *Units[0];
+  Unit &Other = *Units[1];
+  Other.Crashes.Crashes.push_back({"elsewhere", 1, 1});
+  for (std::size_t Run = 0; Run < Case.BesideSuspect.size(); ++Run) {
+    REQUIRE(Fixture.phase() != JobPhase::Failed);
+    Fixture.Now = Fixture.Now + Duration{10'000};
+    if (Case.BesideSuspect[Run]) {
+      const std::size_t Shared = Fixture.NextWorker;
+      Fixture.send(Other, true);
+      Fixture.NextWorker = Shared;
+    }
+    Fixture.startAndLose(Innocent,
+                         Case.Confirmed ? Loss::Early : Loss::Unconfirmed);
+    Other.Crashes.Crashes.resize(1);
+  }
+  REQUIRE((Fixture.phase() == JobPhase::Failed) == Case.GivenUp);
+}
+
 TEST_CASE("a crash is counted once, and delays the next start") {
   CrashFixture Fixture({makeStep(1, false)});
   Unit *Only = Fixture.startable();
--- a/src/pistachioflow/sched/job_table_crashes.cpp
+++ b/src/pistachioflow/sched/job_table_crashes.cpp
@@ -17,7 +17,12 @@
   return Outlived ? CrashEvidence::Late : CrashEvidence::Early;
 }
 
-CrashRecord crashOf(const Unit &Unit, std::size_t Index) {
+bool wasSent(const Member &Entry) {
+  return Entry.Phase != MemberPhase::Planned &&
+         Entry.Phase != MemberPhase::Refused;
+}
+
+CrashRecord crashOf(const Unit &Unit, std::size_t Index, bool Shared) {
   const Member &Crashed = Unit.Members[Index];
   CrashRecord Crash;
   Crash.Worker = Crashed.Worker;
@@ -25,46 +30,67 @@
   Crash.Run = Unit.Run;
   Crash.Member = static_cast<std::int64_t>(Index);
   Crash.Evidence = evidenceOf(Unit, Crashed);
+  Crash.Shared = Shared;
   return Crash;
 }
 
 } // namespace
 
+/// Returns the members on a worker. Taken before any of them is ended, since
+/// each crash makes a suspect of its unit.
+std::vector<JobTable::ExposedMember>
+JobTable::exposedMembers(std::string_view Worker) const {
+  std::vector<ExposedMember> Result;
+  std::vector<const Job *> JobsOfSuspects;
+  for (const MemberRef &Ref : this->membersOn(Worker)) {
+    if (Ref.Index >= Ref.ParentUnit->Members.size())
+      continue;
+    Result.push_back({Ref});
+    if (Ref.ParentUnit->mayCrashWorker() && wasSent(Ref.member()))
+      JobsOfSuspects.push_back(Ref.ParentUnit->ParentJob);
+  }
+  for (ExposedMember &Exposed : Result)
+    Exposed.Shared =
+        std::ranges::any_of(JobsOfSuspects, [&Exposed](const Job *Other) {
+          return Other != Exposed.Ref.ParentUnit->ParentJob;
+        });
+  return Result;
+}
+
 /// Counts the crash of a member's worker. Precondition: the member's start was
 /// sent to the worker's earlier incarnation, or may have been.
-void JobTable::recordCrash(Unit &Unit, std::size_t Index,
+void JobTable::recordCrash(const ExposedMember &Exposed,
                            std::int64_t IncarnationAfter, Instant Now,
                            std::int64_t WallMs) {
-  const CrashRecord Crash = crashOf(Unit, Index);
+  Unit &Unit = *Exposed.Ref.ParentUnit;
+  const CrashRecord Crash = crashOf(Unit, Exposed.Ref.Index, Exposed.Shared);
   if (pistachioflow::recordCrash(Unit.Crashes, Crash))
     this->applyCrash(Unit, Crash, IncarnationAfter, Now, WallMs);
 }
 
 /// Remembers that a member's worker was lost. Whether it crashed shows when it
 /// returns.
-void JobTable::suspectCrash(Unit &Unit, std::size_t Index, Instant Now) {
-  const MemberPhase Phase = Unit.Members[Index].Phase;
-  const bool NeverSent =
-      Phase == MemberPhase::Planned || Phase == MemberPhase::Refused;
-  if (NeverSent || hasEnded(Unit.ParentJob->Phase))
+void JobTable::suspectCrash(const ExposedMember &Exposed, Instant Now) {
+  Unit &Unit = *Exposed.Ref.ParentUnit;
+  const Member &Lost = Exposed.Ref.member();
+  if (!wasSent(Lost) || hasEnded(Unit.ParentJob->Phase))
     return; // Records of ended jobs are dropped.
-  pistachioflow::suspectCrash(Unit.Crashes, crashOf(Unit, Index), Now);
-  this->SuspectsByWorker[Unit.Members[Index].Worker].insert(&Unit);
+  pistachioflow::suspectCrash(
+      Unit.Crashes, crashOf(Unit, Exposed.Ref.Index, Exposed.Shared), Now);
+  this->SuspectsByWorker[Lost.Worker].insert(&Unit);
   this->markDirty(Unit);
 }
 
 void JobTable::workerCrashed(std::string_view Worker, Instant Now,
                              std::int64_t WallMs, std::string_view Reason) {
   constexpr std::int64_t NoIncarnation = 0;
-  const std::span<const MemberRef> Members = this->membersOn(Worker);
-  for (const MemberRef &Ref :
-       std::vector<MemberRef>(Members.begin(), Members.end())) {
+  for (const ExposedMember &Exposed : this->exposedMembers(Worker)) {
+    const MemberRef &Ref = Exposed.Ref;
     const bool Current = Ref.Index < Ref.ParentUnit->Members.size() &&
                          Ref.member().Worker == Worker;
-    const bool Sent = Current && Ref.member().Phase != MemberPhase::Planned &&
-                      Ref.member().Phase != MemberPhase::Refused;
-    if (Sent && !hasEnded(Ref.ParentUnit->ParentJob->Phase))
-      this->recordCrash(*Ref.ParentUnit, Ref.Index, NoIncarnation, Now, WallMs);
+    if (Current && wasSent(Ref.member()) &&
+        !hasEnded(Ref.ParentUnit->ParentJob->Phase))
+      this->recordCrash(Exposed, NoIncarnation, Now, WallMs);
   }
   this->workerLost(Worker, Now, Reason);
 }
@@ -99,6 +125,7 @@
   Event.IncarnationBefore = Crash.IncarnationStartMs;
   Event.IncarnationAfter = IncarnationAfter;
   Event.Crashes = crashesUnder(Unit.Crashes, Crash.Member);
+  Event.SharedWorker = Crash.Shared;
   Unit.FailedWorkers.insert(Crash.Worker);
   Unit.NotBefore =
       std::max(Unit.NotBefore, Now + crashBackoff(Unit.Crashes, Crash.Member));
--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -229,11 +229,8 @@
                                const WorkerReport &Report, Instant Now,
                                std::int64_t WallMs) {
   const std::int64_t BornWallMs = Report.IncarnationStartMs;
-  const auto Match = this->MembersByWorker.find(std::string(Worker));
-  if (Match == this->MembersByWorker.end())
-    return;
-  const std::vector<MemberRef> Members = Match->second;
-  for (const MemberRef &Ref : Members) {
+  for (const ExposedMember &Exposed : this->exposedMembers(Worker)) {
+    const MemberRef &Ref = Exposed.Ref;
     if (Ref.Index >= Ref.ParentUnit->Members.size())
       continue;
     Member &Entry = Ref.member();
@@ -246,7 +243,7 @@
     const bool MayHaveCrashed = Entry.Phase == MemberPhase::Sent ||
                                 (!Shown && Entry.Phase != MemberPhase::Planned);
     if (MayHaveCrashed)
-      this->recordCrash(*Ref.ParentUnit, Ref.Index, BornWallMs, Now, WallMs);
+      this->recordCrash(Exposed, BornWallMs, Now, WallMs);
     // An order in flight may have reached the new incarnation, or may still
     // reach it.
     const bool InFlight =
@@ -265,11 +262,8 @@
 
 void JobTable::workerUnresponsive(std::string_view Worker, Instant EndedBefore,
                                   Instant LeaseEnds, Instant Now) {
-  const auto Match = this->MembersByWorker.find(std::string(Worker));
-  if (Match == this->MembersByWorker.end())
-    return;
-  const std::vector<MemberRef> Members = Match->second;
-  for (const MemberRef &Ref : Members) {
+  for (const ExposedMember &Exposed : this->exposedMembers(Worker)) {
+    const MemberRef &Ref = Exposed.Ref;
     if (Ref.Index >= Ref.ParentUnit->Members.size())
       continue;
     const Instant FirstMemberEndedAt = Ref.ParentUnit->FirstMemberEndedAt;
@@ -278,7 +272,7 @@
     this->recordEvent(TableEvent::Kind::RunLost,
                       Ref.ParentUnit->taskName(Ref.Index), std::string(Worker),
                       Ref.ParentUnit->Run, "gang_ended");
-    this->suspectCrash(*Ref.ParentUnit, Ref.Index, Now);
+    this->suspectCrash(Exposed, Now);
     // An ended job has no further attempt that the end could count for.
     if (!hasEnded(Ref.ParentUnit->ParentJob->Phase)) {
       presumeEnd(Ref.ParentUnit->Attempts, Worker, Ref.ParentUnit->Run,
@@ -292,17 +286,14 @@
 
 void JobTable::workerLost(std::string_view Worker, Instant Now,
                           std::string_view Reason) {
-  const auto Match = this->MembersByWorker.find(std::string(Worker));
-  if (Match == this->MembersByWorker.end())
-    return;
-  const std::vector<MemberRef> Members = Match->second;
-  for (const MemberRef &Ref : Members) {
+  for (const ExposedMember &Exposed : this->exposedMembers(Worker)) {
+    const MemberRef &Ref = Exposed.Ref;
     if (Ref.Index >= Ref.ParentUnit->Members.size())
       continue;
     this->recordEvent(TableEvent::Kind::RunLost,
                       Ref.ParentUnit->taskName(Ref.Index), std::string(Worker),
                       Ref.ParentUnit->Run, std::string(Reason));
-    this->suspectCrash(*Ref.ParentUnit, Ref.Index, Now);
+    this->suspectCrash(Exposed, Now);
     this->endMember(*Ref.ParentUnit, Ref.Index, Now);
     this->stopMembers(*Ref.ParentUnit, Now, "member_lost");
   }
