--- a/src/pistachioflow/sched/crash_history.cpp
+++ b/src/pistachioflow/sched/crash_history.cpp
@@ -27,7 +27,9 @@
          Left.Run == Right.Run && Left.Member == Right.Member;
 }
 
-bool isCounted(const CrashRecord &Entry) { return !Entry.Suspected; }
+bool isSuspected(const CrashRecord &Entry) { return Entry.Suspected; }
+
+bool isCounted(const CrashRecord &Entry) { return !isSuspected(Entry); }
 
 bool isEarlyCrash(const CrashRecord &Entry) {
   return isCounted(Entry) && Entry.Evidence == CrashEvidence::Early;
@@ -71,7 +73,7 @@
 void suspectCrash(CrashHistory &History, CrashRecord Crash, Instant Now) {
   // Suspicions that have ended need no more room.
   if (Now >= History.SuspicionEnds)
-    std::erase_if(History.Crashes, &CrashRecord::Suspected);
+    std::erase_if(History.Crashes, isSuspected);
   Crash.Suspected = true;
   History.SuspicionEnds = Now + SuspicionTime;
   recordCrash(History, std::move(Crash));
