--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -122,3 +122,13 @@
   add_test(NAME soak COMMAND pistachio-soak 1 3 4)
   set_tests_properties(soak PROPERTIES TIMEOUT ${PISTACHIOFLOW_TEST_TIMEOUT_S})
 endfunction()
+
+# Adds each script of a folder as a test. It is given the project's folder.
+function(pistachioflow_script_tests folder)
+  file(GLOB scripts CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${folder}/*.sh)
+  foreach(script ${scripts})
+    cmake_path(GET script STEM name)
+    add_test(NAME ${name} COMMAND ${script} ${CMAKE_SOURCE_DIR})
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${PISTACHIOFLOW_TEST_TIMEOUT_S})
+  endforeach()
+endfunction()
