--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -1,3 +1,5 @@
+include(build_memory)
+
 # Each library becomes one interface target whose headers count as system ones.
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
