--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -20,7 +20,14 @@
 
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
-  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+  # Without a folder that it can write, ccache fails each compilation.
+  execute_process(
+    COMMAND ${CCACHE_PROGRAM} ${CMAKE_CXX_COMPILER} -x c++ -c /dev/null
+            -o ${CMAKE_BINARY_DIR}/ccache_check.o
+    RESULT_VARIABLE CCACHE_STATUS OUTPUT_QUIET ERROR_QUIET)
+  if(CCACHE_STATUS EQUAL 0)
+    set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+  endif()
 endif()
 
 option(PISTACHIOFLOW_DAEMON_ONLY "Build only what runs on the users' platform" OFF)
