--- a/src/pistachioflow/sched/candidate_workers_test.cpp
+++ b/src/pistachioflow/sched/candidate_workers_test.cpp
@@ -1,6 +1,7 @@
 #include "candidate_workers.hpp"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -70,4 +71,38 @@
   REQUIRE(SameWorker == !Apart);
 }
 
+// Guards against a task that waits for the rack of its data although none of
+// the workers there can ever run it.
+TEST_CASE("a task keeps to the rack of its data where it would fit when idle") {
+  struct Row {
+    const char *What;
+    const char *DataRack;
+    Resources Free;
+    Resources Capacity;
+    bool Usable;
+    bool Keeps;
+  };
+  const auto Case = GENERATE(
+      Row{"idle", "r0", WholeWorker, WholeWorker, true, true},
+      Row{"full of other work", "r0", {}, WholeWorker, true, true},
+      Row{"too small", "r0", {8'000, 100, 1}, {8'000, 100, 1}, true, false},
+      Row{"unusable", "r0", WholeWorker, WholeWorker, false, false},
+      Row{"unknown", "r9", WholeWorker, WholeWorker, true, false},
+      Row{"none", "", WholeWorker, WholeWorker, true, false});
+  CAPTURE(Case.What);
+  StepSpec Step;
+  Step.TaskResources = {1'000, 100, 4};
+  Step.DataRack = Case.DataRack;
+  std::vector<PlacementWorker> Workers = twoWorkers();
+  Workers[0].Rack = "r0";
+  Workers[0].FreeNow = Case.Free;
+  Workers[0].Capacity = Case.Capacity;
+  Workers[0].Usable = Case.Usable;
+  Workers[1].Rack = "r1";
+  const std::vector<std::string_view> Racks =
+      allowedRacks(Workers, makeUnit(Step, false));
+  const std::vector<std::string_view> Expected{"r0"};
+  REQUIRE(Racks == (Case.Keeps ? Expected : std::vector<std::string_view>{}));
+}
+
 } // namespace pistachioflow
