--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -157,6 +157,9 @@
   /// MaxStartsPerRound was reached: the units that are in none of the lists are
   /// left to the next round.
   bool Incomplete = false;
+  /// How often the round has looked through all workers, which is most of its
+  /// cost.
+  std::size_t Searches = 0;
 };
 
 /// Whether the worker may run tasks of the unit, regardless of free capacity.
--- a/include/pistachioflow/sched/reservation.hpp
+++ b/include/pistachioflow/sched/reservation.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
-#include <string>
 #include <string_view>
 #include <vector>
 
@@ -11,6 +11,19 @@
 
 namespace pistachioflow {
 
+/// Resources that a placed unit is expected to release on a worker.
+struct ExpectedRelease {
+  std::int64_t AfterMs = 0;
+  Resources Freed;
+};
+
+/// The expected releases of each worker by its index, the earliest first.
+using ReleasesByWorker = std::vector<std::vector<ExpectedRelease>>;
+
+/// Lists what the placed units release. Thread safety: pure.
+ReleasesByWorker expectedReleases(std::size_t WorkerCount,
+                                  std::span<const PlacedUnit> Placed);
+
 /// Chooses the workers on which a gang that fits nowhere now could start
 /// soonest, by the expected ends of the work there. Lower ranks then leave them
 /// to the gang.
@@ -23,7 +36,7 @@
 /// even on empty workers. Thread safety: pure.
 std::optional<std::vector<std::size_t>>
 planReservation(std::span<const PlacementWorker> Workers,
-                const WaitingUnit &Gang, std::span<const PlacedUnit> Placed,
+                const WaitingUnit &Gang, const ReleasesByWorker &Releases,
                 std::span<const std::string_view> Racks);
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -63,14 +63,21 @@
   });
 }
 
+/// Returns how many of \p Tasks tasks fit, counted up to that many on each
+/// worker.
+std::int64_t countFitting(std::span<const CandidateWorker> Candidates,
+                          std::int64_t Tasks) {
+  std::int64_t Fitting = 0;
+  for (const CandidateWorker &Entry : Candidates)
+    Fitting += std::min(Entry.Tasks, Tasks);
+  return Fitting;
+}
+
 /// Assigns tasks to the best candidates until every task has a worker. Sorts
 /// only where it has to: most units of a full queue don't fit.
 std::optional<WorkerChoice> fill(std::vector<CandidateWorker> Candidates,
                                  std::int64_t Tasks) {
-  std::int64_t Fitting = 0;
-  for (const CandidateWorker &Entry : Candidates)
-    Fitting += std::min(Entry.Tasks, Tasks);
-  if (Fitting < Tasks)
+  if (countFitting(Candidates, Tasks) < Tasks)
     return std::nullopt;
   if (Tasks == 1)
     return WorkerChoice{
@@ -163,34 +170,41 @@
   return Racks;
 }
 
-std::optional<WorkerChoice>
-chooseWorkers(WorkerSpan Workers, const WaitingUnit &Unit,
-              std::span<const std::string_view> Racks,
-              Resources PlacementWorker::*Free) {
+WorkerSearch searchWorkers(WorkerSpan Workers, const WaitingUnit &Unit,
+                           std::span<const std::string_view> Racks,
+                           Resources PlacementWorker::*Free) {
   std::vector<CandidateWorker> All = collectCandidates(Workers, Unit, Free);
-  if (Racks.empty())
-    return fill(std::move(All), Unit.TaskCount);
+  WorkerSearch Found;
+  Found.Fitting = countFitting(All, Unit.TaskCount);
+  if (Racks.empty()) {
+    Found.Choice = fill(std::move(All), Unit.TaskCount);
+    return Found;
+  }
   std::map<std::string_view, std::vector<CandidateWorker>> ByRack;
   for (const CandidateWorker &Entry : All)
     ByRack[Workers[Entry.Worker].Rack].push_back(Entry);
-  std::optional<WorkerChoice> Best;
   std::int64_t LeastFreeTasks = UnlimitedTasks;
   for (const std::string_view Rack : Racks) {
     std::vector<CandidateWorker> &Inside = ByRack[Rack];
+    const std::int64_t Fitting = countFitting(Inside, Unit.TaskCount);
+    Found.OnOneRack = std::max(Found.OnOneRack, Fitting);
     std::int64_t FreeTasks = 0;
     for (const CandidateWorker &Entry : Inside)
       FreeTasks += std::min(Entry.Tasks, MaxCountedTasks) +
                    (Entry.Avoided ? Unit.TaskCount : 0);
-    if (FreeTasks >= LeastFreeTasks)
+    if (Fitting < Unit.TaskCount || FreeTasks >= LeastFreeTasks)
       continue;
-    std::optional<WorkerChoice> Chosen =
-        fill(std::move(Inside), Unit.TaskCount);
-    if (!Chosen)
-      continue;
-    Best = std::move(Chosen);
+    Found.Choice = fill(std::move(Inside), Unit.TaskCount);
     LeastFreeTasks = FreeTasks;
   }
-  return Best;
+  return Found;
+}
+
+std::optional<WorkerChoice>
+chooseWorkers(WorkerSpan Workers, const WaitingUnit &Unit,
+              std::span<const std::string_view> Racks,
+              Resources PlacementWorker::*Free) {
+  return searchWorkers(Workers, Unit, Racks, Free).Choice;
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/candidate_workers.hpp
+++ b/src/pistachioflow/sched/candidate_workers.hpp
@@ -47,8 +47,23 @@
 std::vector<std::string_view>
 allowedRacks(std::span<const PlacementWorker> Workers, const WaitingUnit &Unit);
 
-/// Chooses workers by one of their free amounts. Of several possible racks,
+/// What a search among all workers found.
+struct WorkerSearch {
+  std::optional<WorkerChoice> Choice;
+  /// How many tasks fit on all workers together, and on the best of the racks
+  /// that were named. No more than the unit has are counted on a worker.
+  std::int64_t Fitting = 0;
+  std::int64_t OnOneRack = 0;
+};
+
+/// Looks for workers by one of their free amounts. Of several possible racks,
 /// prefers the one with room for the fewest of these tasks.
+WorkerSearch searchWorkers(std::span<const PlacementWorker> Workers,
+                           const WaitingUnit &Unit,
+                           std::span<const std::string_view> Racks,
+                           Resources PlacementWorker::*Free);
+
+/// As searchWorkers(), but returns the choice only.
 std::optional<WorkerChoice>
 chooseWorkers(std::span<const PlacementWorker> Workers, const WaitingUnit &Unit,
               std::span<const std::string_view> Racks,
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "candidate_workers.hpp"
+#include "fit_bounds.hpp"
 #include "pistachioflow/sched/reservation.hpp"
 #include "preemption.hpp"
 
@@ -168,6 +169,31 @@
     return Overdue;
   }
 
+  /// Looks for workers, unless an earlier search of this round has shown that
+  /// there are too few.
+  std::optional<WorkerChoice> search(const WaitingUnit &Unit,
+                                     std::span<const std::string_view> Racks,
+                                     Resources PlacementWorker::*Free) {
+    const bool IsKnownKind = Unit.Step->MaxPerWorker <= 0;
+    const FitKind Kind = fitKind(Unit);
+    FitBounds &Known = this->boundsFor(Free);
+    if (IsKnownKind && Known.excludes(Kind, Unit.TaskCount, Racks))
+      return std::nullopt;
+    ++this->Plan.Searches;
+    WorkerSearch Found = searchWorkers(this->Workers, Unit, Racks, Free);
+    if (IsKnownKind && !Found.Choice)
+      Known.learn(Kind, Unit.TaskCount, Found.Fitting, Racks, Found.OnOneRack);
+    return std::move(Found.Choice);
+  }
+
+  FitBounds &boundsFor(Resources PlacementWorker::*Free) {
+    if (Free == &PlacementWorker::FreeNow)
+      return this->FitsNow;
+    return Free == &PlacementWorker::FreeAfterStops
+               ? this->FitsAfterStops
+               : this->FitsAfterExpectedEnds;
+  }
+
   /// Chooses free workers for a unit: those that it prefers, or else any that
   /// it fits on if it accepts them. Notes a unit that preferences or
   /// reservations hold back.
@@ -176,17 +202,16 @@
     WaitingUnit Unit = this->Waiting[Index];
     Unit.AcceptsAnyWorker = Unit.IgnoresReservations = false;
     Unit.AcceptsSuspended = false;
-    auto Preferred =
-        chooseWorkers(this->Workers, Unit, Racks, &PlacementWorker::FreeNow);
+    auto Preferred = this->search(Unit, Racks, &PlacementWorker::FreeNow);
     if (Preferred || (Racks.empty() && !this->MayHoldBack))
       return Preferred;
     if (this->Waiting[Index].AcceptsAnyWorker)
-      if (auto Accepted = chooseWorkers(this->Workers, this->Waiting[Index], {},
-                                        &PlacementWorker::FreeNow))
+      if (auto Accepted =
+              this->search(this->Waiting[Index], {}, &PlacementWorker::FreeNow))
         return Accepted;
     Unit.AcceptsAnyWorker = Unit.IgnoresReservations = true;
     Unit.AcceptsSuspended = !Unit.LastAttempt;
-    if (chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow))
+    if (this->search(Unit, {}, &PlacementWorker::FreeNow))
       this->Plan.HeldBack.push_back(Index);
     return std::nullopt;
   }
@@ -203,14 +228,14 @@
       this->start(Index, std::move(*Chosen));
       return true;
     }
-    if (auto Later = chooseWorkers(this->Workers, Unit, Racks,
-                                   &PlacementWorker::FreeAfterStops)) {
+    if (auto Later =
+            this->search(Unit, Racks, &PlacementWorker::FreeAfterStops)) {
       occupy(this->Workers, *Later, PerTask);
       return false;
     }
     if (Unit.WaitsForExpectedEnds) {
-      const auto Wait = chooseWorkers(this->Workers, Unit, Racks,
-                                      &PlacementWorker::FreeAfterExpectedEnds);
+      const auto Wait =
+          this->search(Unit, Racks, &PlacementWorker::FreeAfterExpectedEnds);
       if (Wait) {
         occupy(this->Workers, *Wait, PerTask);
         return false;
@@ -236,8 +261,7 @@
     const bool Planned = this->preemptFor(Index, Racks);
     if (Planned || Racks.empty() || !this->mayReclaim(Unit))
       return false;
-    if (auto Chosen =
-            chooseWorkers(this->Workers, Unit, {}, &PlacementWorker::FreeNow)) {
+    if (auto Chosen = this->search(Unit, {}, &PlacementWorker::FreeNow)) {
       this->start(Index, std::move(*Chosen));
       return true;
     }
@@ -252,6 +276,9 @@
     const Resources PerTask = countedDemand(*Unit.Step);
     const WorkerChoice Claimed = *this->Held[Index];
     release(this->Workers, Claimed, PerTask);
+    this->FitsNow.clear();
+    this->FitsAfterStops.clear();
+    this->FitsAfterExpectedEnds.clear();
     std::optional<WorkerChoice> Chosen = this->completeClaim(Unit, Claimed);
     if (!Chosen)
       Chosen = this->chooseNow(Index, allowedRacks(this->Workers, Unit));
@@ -330,17 +357,19 @@
 
   void reserveFor(std::size_t Index, std::span<const std::string_view> Racks) {
     const WaitingUnit &Unit = this->Waiting[Index];
+    const std::size_t Limit =
+        this->Workers.size() * MaxReservedPercent / WholePercent;
+    if (this->ReservedCount >= Limit)
+      return;
     std::optional<WorkerChoice> Chosen =
         this->findWorkers(Unit, Unit.ReservedWorkers);
     if (!Chosen)
-      Chosen = planReservation(this->Workers, Unit, this->Placed, Racks);
+      Chosen = this->planReservationFor(Unit, Racks);
     if (!Chosen)
       return;
     std::vector<std::size_t> Indices = *Chosen;
     std::ranges::sort(Indices);
     Indices.erase(std::unique(Indices.begin(), Indices.end()), Indices.end());
-    const std::size_t Limit =
-        this->Workers.size() * MaxReservedPercent / WholePercent;
     if (this->ReservedCount + Indices.size() > Limit)
       return;
     this->ReservedCount += Indices.size();
@@ -350,6 +379,15 @@
     this->Plan.Reservations.push_back({Index, std::move(Indices)});
   }
 
+  std::optional<WorkerChoice>
+  planReservationFor(const WaitingUnit &Unit,
+                     std::span<const std::string_view> Racks) {
+    if (!this->Releases)
+      this->Releases = expectedReleases(this->Workers.size(), this->Placed);
+    ++this->Plan.Searches;
+    return planReservation(this->Workers, Unit, *this->Releases, Racks);
+  }
+
   /// Returns the workers of earlier rounds by index, or nothing unless the unit
   /// may still use all of them.
   std::optional<WorkerChoice>
@@ -412,6 +450,8 @@
       this->Guarantees.use(Other.Workspace, -acceleratorsOf(Other));
     for (const std::size_t Worker : Other.WorkerIndices)
       this->addExpectedCapacity(this->Workers[Worker], Other.TaskResources);
+    this->FitsAfterStops.clear();
+    this->FitsAfterExpectedEnds.clear();
   }
 
   WorkerSpan Workers;
@@ -426,6 +466,11 @@
   std::size_t StartedTasks = 0;
   /// Some workers are reserved for other work, suspended or on probation.
   bool MayHoldBack = false;
+  FitBounds FitsNow;
+  FitBounds FitsAfterStops;
+  FitBounds FitsAfterExpectedEnds;
+  /// What the placed units release; listed once it is asked for.
+  std::optional<ReleasesByWorker> Releases;
   PlacementPlan Plan;
 };
 
