--- a/include/pistachioflow/entry/worker_link.hpp
+++ b/include/pistachioflow/entry/worker_link.hpp
@@ -8,6 +8,7 @@
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/entry/coroutines.hpp"
 #include "pistachioflow/entry/end_numbers.hpp"
+#include "pistachioflow/entry/unwanted_runs.hpp"
 #include "pistachioflow/platform/worker_client.hpp"
 #include "pistachioflow/sched/worker.hpp"
 #include "pistachioflow/sched/worker_reliability.hpp"
@@ -39,8 +40,9 @@
   Instant ReservedForUrgentUntil;
   Instant EarliestRemovalAt; ///< Set while it drains: not removed before this.
   EndNumbers Ends;           ///< Of its current incarnation.
-  /// Occupied by runs in its latest report that are unwanted: they are being
-  /// stopped and are in no job's members.
+  /// Runs in its latest report that are in no job's members, and what they
+  /// occupy. They are being stopped.
+  UnwantedRuns Unwanted;
   Resources UnwantedUse;
   Instant AvoidedUntil; ///< Other workers are preferred until then.
   WorkerReliability Trust;
@@ -57,7 +59,8 @@
 /// it answers, since nothing is placed on it before.
 inline bool needsHold(const WorkerLink &Worker, bool Occupied) {
   return !Worker.Synced || Worker.NeedsImmediateHold || Occupied ||
-         Worker.UnresponsiveSince.Ms != 0 || Worker.Ends.awaitAcknowledgement();
+         !Worker.Unwanted.empty() || Worker.UnresponsiveSince.Ms != 0 ||
+         Worker.Ends.awaitAcknowledgement();
 }
 
 /// Whether the entry is of the incarnation that last answered: labels and
--- a/include/pistachioflow/platform_standin/task_simulator.hpp
+++ b/include/pistachioflow/platform_standin/task_simulator.hpp
@@ -110,6 +110,8 @@
   /// Returns a worker that runs \p Task; empty: none does.
   std::string workerOf(const std::string &Task) const;
   std::int64_t startCount() const { return this->StartedRuns; }
+  /// Returns how many stops the workers have been told of.
+  std::int64_t stopCount() const { return this->StopOrders; }
   /// Returns how many workers \p Task has crashed.
   std::int64_t crashCount(const std::string &Task) const;
   /// Returns how many workers have crashed while \p Task ran there, whatever
@@ -180,6 +182,7 @@
   std::map<std::string, std::int64_t> DoneCounts;
   std::vector<std::string> Violations;
   std::int64_t StartedRuns = 0;
+  std::int64_t StopOrders = 0;
 };
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -168,12 +168,15 @@
     }
     if (Answer.Outcome == OrderOutcome::Accepted ||
         Answer.Outcome == OrderOutcome::StaleRun) {
-      Term->Table.stopAccepted(Task, Run, this->Time.monotonic());
+      const Instant Now = this->Time.monotonic();
+      Term->Table.stopAccepted(Task, Run, Now);
+      Worker->Unwanted.stopAccepted(Task, Run,
+                                    Now + this->Settings.StopTimeout);
       break;
     }
+    co_await pauseFor(this->Io, OrderRetryPause);
     if (!WasMember || !IsMember())
       break;
-    co_await pauseFor(this->Io, OrderRetryPause);
   }
   Term->PendingStops.erase({Task, Run});
   Worker->NeedsImmediateHold = true;
@@ -209,7 +212,8 @@
     // The leases of an unresponsive worker are not renewed, so that they
     // expire.
     const bool Renews = Worker->Synced && Worker->UnresponsiveSince.Ms == 0;
-    const bool Waits = Renews && Occupied && !Worker->NeedsImmediateHold;
+    const bool HasRuns = Occupied || !Worker->Unwanted.empty();
+    const bool Waits = Renews && HasRuns && !Worker->NeedsImmediateHold;
     const Instant LeaseEnd =
         this->leaseEnd(*Term, this->Settings.MaxLease, SentAt);
     const Duration Lease = LeaseEnd - SentAt;
@@ -281,7 +285,7 @@
   Worker->UnwantedUse = Term->Table.neededBy(Unwanted);
   for (const EndedRun &End : News.Ended)
     Worker->Ends.Applied = std::max(Worker->Ends.Applied, End.Number);
-  for (const RunningTask &Task : Unwanted) {
+  for (const RunningTask &Task : Worker->Unwanted.update(Unwanted, Now)) {
     logEvent(LogLevel::Warning, "unwanted_run",
              {{"task", Task.Task}, {"run", Task.Run}, {"worker", Worker->Id}});
     spawnCoroutine(this->Io, "stop_task",
--- a/src/pistachioflow/entry/worker_link_test.cpp
+++ b/src/pistachioflow/entry/worker_link_test.cpp
@@ -1,5 +1,7 @@
 #include "pistachioflow/entry/worker_link.hpp"
 
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 namespace pistachioflow {
@@ -11,21 +13,26 @@
     bool Occupied;
     std::int64_t UnresponsiveSinceMs;
     std::int64_t LastRecordedEnd;
+    bool HasUnwantedRun;
     bool Needed;
   };
   const auto Case = GENERATE(
-      Row{"idle and known", true, false, 0, 0, false},
-      Row{"no answer yet", false, false, 0, 0, true},
-      Row{"something runs", true, true, 0, 0, true},
+      Row{"idle and known", true, false, 0, 0, false, false},
+      Row{"no answer yet", false, false, 0, 0, false, true},
+      Row{"something runs", true, true, 0, 0, false, true},
       // Its runs were given up while it was unreachable.
-      Row{"unresponsive with nothing on it", true, false, 500, 0, true},
-      Row{"an end to acknowledge", true, false, 0, 3, true});
+      Row{"unresponsive with nothing on it", true, false, 500, 0, false, true},
+      Row{"an end to acknowledge", true, false, 0, 3, false, true},
+      Row{"a run is being stopped", true, false, 0, 0, true, true});
   CAPTURE(Case.Description);
   asio::io_context Io;
   WorkerLink Worker(Io, "w");
   Worker.Synced = Case.Synced;
   Worker.UnresponsiveSince = {Case.UnresponsiveSinceMs};
   Worker.Ends.Recorded = Case.LastRecordedEnd;
+  const std::vector<RunningTask> Run{{"task", 1, {}, 0, -1}};
+  if (Case.HasUnwantedRun)
+    Worker.Unwanted.update(Run, {1});
   REQUIRE(needsHold(Worker, Case.Occupied) == Case.Needed);
 }
 
--- a/src/pistachioflow/platform_standin/task_simulator.cpp
+++ b/src/pistachioflow/platform_standin/task_simulator.cpp
@@ -144,6 +144,7 @@
                                 std::int64_t Run, std::int64_t Epoch,
                                 Instant Now) {
   SimulatedWorker &Target = this->Workers.at(Id);
+  ++this->StopOrders;
   if (Epoch < Target.Epoch)
     return {OrderOutcome::StaleEpoch, Now.Ms};
   Target.Epoch = Epoch;
