--- a/include/pistachioflow/platform/job_codec.hpp
+++ b/include/pistachioflow/platform/job_codec.hpp
@@ -10,6 +10,13 @@
 
 namespace pistachioflow {
 
+/// Tasks of all steps and occurrences of a job. The owner holds each of them in
+/// memory, and so does its successor: a larger job could end one after another.
+inline constexpr std::int64_t MaxTasksPerJob = 20'000;
+
+/// Tasks of one gang. The record of its places must fit into one of the store.
+inline constexpr std::int64_t MaxGangSize = 2'000;
+
 /// Decodes the body of a caller's submit request.
 /// Errors: InvalidInput with every finding.
 Result<JobSpec> decodeJobSpec(std::string_view Body);
--- a/src/pistachioflow/platform/codecs_test.cpp
+++ b/src/pistachioflow/platform/codecs_test.cpp
@@ -89,6 +89,24 @@
   REQUIRE(decodeJobSpec(Text).has_value() == Valid);
 }
 
+// Guards against a job that ends one owner after another: it was accepted with
+// a billion occurrences that were all due, or with 100,000 tasks a step.
+TEST_CASE("a job that no owner could hold is rejected") {
+  const auto [Text, Valid] = GENERATE(table<std::string, bool>(
+      {{R"({"steps":[{"count":20000}]})", true},
+       {R"({"steps":[{"count":20001}]})", false},
+       {R"({"steps":[{"count":10000},{"count":10001}]})", false},
+       {R"({"steps":[{"count":2000,"gang":true}]})", true},
+       {R"({"steps":[{"count":2001,"gang":true}]})", false},
+       {R"({"repeat_count":20000,"steps":[{"count":1}]})", true},
+       {R"({"repeat_count":10000,"steps":[{"count":2},{}]})", false},
+       {R"({"repeat_count":1000000000,"interval_ms":1,"start_at_ms":0,)"
+        R"("steps":[{"count":1}]})",
+        false}}));
+  CAPTURE(Text);
+  REQUIRE(decodeJobSpec(Text).has_value() == Valid);
+}
+
 TEST_CASE(
     "decoding settings reports every finding and ignores unknown fields") {
   REQUIRE(decodeInstanceSettings(GoodSettings));
--- a/src/pistachioflow/platform/job_codec.cpp
+++ b/src/pistachioflow/platform/job_codec.cpp
@@ -1,6 +1,7 @@
 #include "pistachioflow/platform/job_codec.hpp"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include "pistachioflow/codec/json_reader.hpp"
@@ -13,7 +14,7 @@
 constexpr std::size_t MaxSteps = 1'000;
 constexpr std::size_t JobIdDigits = 16;
 constexpr IntegerRange AmountRange{0, std::int64_t{1} << 40U};
-constexpr IntegerRange TaskRange{1, 100'000};
+constexpr IntegerRange TaskRange{1, MaxTasksPerJob};
 
 std::vector<std::int64_t> readAfter(const nlohmann::json &Step,
                                     std::size_t Index, ObjectReader &Reader) {
@@ -56,6 +57,25 @@
   return Step;
 }
 
+/// Reports what is larger than any owner should hold.
+void checkSize(const JobSpec &Job, ObjectReader &Reader) {
+  std::int64_t Tasks = 0;
+  for (const StepSpec &Step : Job.Steps) {
+    Tasks += Step.TaskCount;
+    if (Step.Gang && Step.TaskCount > MaxGangSize)
+      Reader.report(
+          "steps", "gangs of at most " + std::to_string(MaxGangSize) + " tasks",
+          std::to_string(Step.TaskCount));
+  }
+  const std::int64_t Occurrences = std::max<std::int64_t>(Job.Occurrences, 1);
+  if (Tasks > MaxTasksPerJob / Occurrences)
+    Reader.report("steps",
+                  "at most " + std::to_string(MaxTasksPerJob) +
+                      " tasks in all steps and occurrences",
+                  std::to_string(Tasks) + " in each of " +
+                      std::to_string(Occurrences));
+}
+
 } // namespace
 
 Result<JobSpec> decodeJobSpec(std::string_view Body) {
@@ -76,6 +96,7 @@
   }
   if (Problems.empty() && Job.Steps.empty())
     Reader.report("steps", "at least one step", "none");
+  checkSize(Job, Reader);
   if (!Problems.empty())
     return Error{ErrorCode::InvalidInput, "invalid job", Problems};
   return Job;
