--- a/include/pistachioflow/entry/caller_api.hpp
+++ b/include/pistachioflow/entry/caller_api.hpp
@@ -21,9 +21,10 @@
 /// Thread safety: none; use from the thread that runs the io_context.
 class CallerApi {
 public:
+  /// \p MaxRecordBytes is what one record of the store may hold.
   CallerApi(const Clock &Time, const DesiredState &Desired,
             JobStatusTable &JobStatuses, TopicFollower &Journal,
-            JournalWriter &Writer);
+            JournalWriter &Writer, std::size_t MaxRecordBytes);
 
   asio::awaitable<HttpResponse> handle(HttpRequest Request);
 
@@ -49,6 +50,7 @@
   JobStatusTable &JobStatuses;
   TopicFollower &Journal;
   JournalWriter &Writer;
+  std::size_t MaxRecordBytes;
 };
 
 /// Returns a response with a Retry-After header, in seconds.
--- a/include/pistachioflow/entry/journal_writer.hpp
+++ b/include/pistachioflow/entry/journal_writer.hpp
@@ -37,6 +37,9 @@
 WriteTimeouts extendTimeouts(const WriteTimeouts &Timeouts,
                              Duration LastAppendTime);
 
+/// Returns what the store counts for the size of a record.
+std::size_t recordBytes(const JournalRecord &Record);
+
 /// Returns how many bytes a record takes in a call to the store.
 std::size_t storedBytes(const JournalRecord &Record);
 
--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -31,7 +31,9 @@
   /// Pages hold the bytes of keys as they are, also where JSON can't.
   bool RawKeys = false;
   std::size_t MaxAppendBytes = 0; ///< Larger appends get 413. 0: no limit.
-  bool WatchesSilent = false;     ///< Reads that wait get no records.
+  /// Appends with a larger record get 413. 0: no limit.
+  std::size_t MaxRecordBytes = 0;
+  bool WatchesSilent = false; ///< Reads that wait get no records.
 };
 
 /// A cut between one owner with some workers, and everybody else. Each epoch
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -52,9 +52,9 @@
 
 CallerApi::CallerApi(const Clock &Time, const DesiredState &Desired,
                      JobStatusTable &JobStatuses, TopicFollower &Journal,
-                     JournalWriter &Writer)
+                     JournalWriter &Writer, std::size_t MaxRecordBytes)
     : Time(Time), Desired(Desired), JobStatuses(JobStatuses), Journal(Journal),
-      Writer(Writer) {}
+      Writer(Writer), MaxRecordBytes(MaxRecordBytes) {}
 
 HttpResponse CallerApi::filter(const HttpRequest &Request,
                                CallTarget &Target) const {
@@ -130,6 +130,11 @@
   std::vector<JournalRecord> Records;
   Records.push_back({submissionKey(Target.JobId), encodeRecord(Record)});
   const JournalRecord Stored = Records.front();
+  // The store would refuse it with all that is written in the same append.
+  if (recordBytes(Stored) > this->MaxRecordBytes) {
+    logCall("submit_refused", Target.JobId, 413, "record_too_large", Elapsed());
+    co_return HttpResponse{413, {}, "the job is too large for the store"};
+  }
   const WriteOutcome Outcome =
       co_await this->Writer.write(std::move(Records), CallerWriteTimeouts);
   if (Outcome == WriteOutcome::Stored) {
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -118,7 +118,8 @@
            [this]() -> asio::awaitable<void> {
              co_await this->Journal.refresh(ClaimRefreshTimeout);
            }}),
-      Api(Time, this->Desired, this->JobStatuses, this->Journal, *this->Writer),
+      Api(Time, this->Desired, this->JobStatuses, this->Journal, *this->Writer,
+          static_cast<std::size_t>(this->Settings.MaxStoreRecordBytes)),
       CallerServer(Io,
                    [this](HttpRequest Request) {
                      return this->Api.handle(std::move(Request));
--- a/src/pistachioflow/entry/journal_writer.cpp
+++ b/src/pistachioflow/entry/journal_writer.cpp
@@ -46,9 +46,14 @@
   return {Timeouts.Refused + Extension, Timeouts.Unanswered + Extension};
 }
 
+std::size_t recordBytes(const JournalRecord &Record) {
+  constexpr std::size_t KeyLengthBytes = 1;
+  return KeyLengthBytes + Record.Key.size() + Record.Value.size();
+}
+
 std::size_t storedBytes(const JournalRecord &Record) {
-  constexpr std::size_t FramingBytes = 5;
-  return Record.Key.size() + Record.Value.size() + FramingBytes;
+  constexpr std::size_t LengthBytes = 4;
+  return LengthBytes + recordBytes(Record);
 }
 
 std::vector<std::vector<JournalRecord>>
--- a/src/pistachioflow/platform_standin/platform_server.cpp
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -188,6 +188,12 @@
   const std::vector<JournalRecord> Records = decodeRecords(Body, Malformed);
   if (Malformed)
     return jsonResponse(400, {{"error", "malformed records"}});
+  const std::size_t MaxRecord = this->StoreBehaviour.MaxRecordBytes;
+  const auto IsTooLarge = [MaxRecord](const JournalRecord &Record) {
+    return Record.Key.size() + Record.Value.size() > MaxRecord;
+  };
+  if (MaxRecord > 0 && std::ranges::any_of(Records, IsTooLarge))
+    return jsonResponse(413, {{"error", "a record is too large"}});
   const Producer Writer{queryValue(Query, "producer_id"),
                         queryNumber(Query, "epoch"),
                         queryNumber(Query, "sequence")};
--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -124,6 +124,7 @@
         {"ready", Local(Member.ReadyPort)}}},
       {"platform",
        {{"address", Local(Member.StoreProxy->port())},
+        {"record_bytes", this->MaxRecordBytes},
         {"request_bytes", this->MaxAppendBytes}}},
       {"bounds", {{"max_hold_ms", 6'000}, {"grace_period_s", 6}}}};
   std::ofstream(Member.SettingsPath) << dumpJson(Settings);
@@ -137,6 +138,14 @@
     this->writeSettings(*Member);
 }
 
+void Fleet::limitRecords(std::int64_t Bytes) {
+  this->MaxRecordBytes = Bytes;
+  this->Platform.StoreBehaviour.MaxRecordBytes =
+      static_cast<std::size_t>(Bytes);
+  for (const auto &Member : this->Members)
+    this->writeSettings(*Member);
+}
+
 void Fleet::startMember(std::size_t Index) {
   FleetMember &Member = *this->Members[Index];
   const std::string Program = PISTACHIOFLOW_BIN_DIR "/pistachio-entryd";
@@ -215,6 +224,7 @@
         std::move(Request), this->CallTimeout);
     this->CallsWithoutAnswer += Call.Outcome == CallOutcome::NoAnswer ? 1 : 0;
     const int Status = Call.Response.Status;
+    Job.LastStatus = Status;
     if (Call.Outcome == CallOutcome::Answered && Status / 100 == 2)
       Job.Accepted = true;
     else if (Call.Outcome == CallOutcome::NoAnswer || Status == 504)
--- a/tests/platform/fleet.hpp
+++ b/tests/platform/fleet.hpp
@@ -45,6 +45,7 @@
   bool Accepted = false;       ///< An attempt was answered with 2xx.
   bool OutcomeUnknown = false; ///< An attempt may have been accepted.
   bool CancelAccepted = false;
+  int LastStatus = 0; ///< Of the newest answer to an attempt.
   std::string Body;
 };
 
@@ -66,6 +67,9 @@
   /// Sets how many bytes one append may have, before run().
   void limitAppends(std::int64_t Bytes);
 
+  /// Sets how many bytes one record may have, before run().
+  void limitRecords(std::int64_t Bytes);
+
   void startMember(std::size_t Index);
   void signalMember(std::size_t Index, int Signal);
   /// Restarts processes that exited. An exit without a signal of the test is a
@@ -107,6 +111,7 @@
   asio::io_context Io;
   std::string Folder;
   std::int64_t MaxAppendBytes = 2'097'152;
+  std::int64_t MaxRecordBytes = 262'144;
   std::vector<std::string> Violations;
 
 public:
--- a/tests/platform/job_size_test.cpp
+++ b/tests/platform/job_size_test.cpp
@@ -30,6 +30,13 @@
   return 0;
 }
 
+/// Submits a job once, at one instance, until \p Left counts down to zero.
+asio::awaitable<void> submitOnce(Fleet &Daemons, SubmittedJob &Job,
+                                 std::size_t &Left) {
+  co_await Daemons.submit(Job, 0, 1);
+  --Left;
+}
+
 } // namespace
 
 // Guards against a job that is accepted and then ends each owner that holds it.
@@ -81,4 +88,34 @@
   REQUIRE(Violations == std::vector<std::string>{});
 }
 
+// Guards against one caller that makes an instance refuse all others: the store
+// refused their jobs with the too large one, and again with each retry.
+TEST_CASE("a job too large for the store's records harms no other") {
+  constexpr std::int64_t MaxRecordBytes = 2'048;
+  constexpr std::size_t SmallJobs = 8;
+  Fleet Fixture(Instances, WorkerCount, 1, folder("large_record"));
+  Fixture.limitRecords(MaxRecordBytes);
+  const std::vector<std::string> Violations =
+      Fixture.run([=](Fleet &Daemons) -> asio::awaitable<void> {
+        co_await waitForOwner(Daemons);
+        SubmittedJob Large = makeJob(1, 1, false, TaskScript{});
+        Large.Body = R"({"specification":")" +
+                     std::string(2 * MaxRecordBytes, 'x') +
+                     R"(","steps":[{"count":1}]})";
+        std::vector<SubmittedJob> Small;
+        for (std::uint64_t Number = 0; Number < SmallJobs; ++Number)
+          Small.push_back(makeJob(2 + Number, 1, false, TaskScript{}));
+        std::size_t Left = SmallJobs + 1;
+        spawnCoroutine(Daemons.io(), "large", submitOnce(Daemons, Large, Left));
+        for (SubmittedJob &Job : Small)
+          spawnCoroutine(Daemons.io(), "small", submitOnce(Daemons, Job, Left));
+        co_await Daemons.waitUntil([&Left] { return Left == 0; }, EndLimit);
+        if (Large.LastStatus != 413)
+          Daemons.recordViolation("answered with " +
+                                  std::to_string(Large.LastStatus));
+        co_await expectCompleted(Daemons, Small);
+      });
+  REQUIRE(Violations == std::vector<std::string>{});
+}
+
 } // namespace pistachioflow
