--- a/include/pistachioflow/platform/worker_client.hpp
+++ b/include/pistachioflow/platform/worker_client.hpp
@@ -33,6 +33,10 @@
 /// InsufficientCapacity "no_room" and WrongWorker "other_life".
 std::string_view toString(OrderOutcome Outcome);
 
+/// A worker's checkpoint becomes part of a record of the journal. A longer one
+/// counts as none: the owner could not store it, nor what it writes with it.
+inline constexpr std::size_t MaxCheckpointBytes = std::size_t{64} << 10U;
+
 /// An order to start one run of a task.
 struct StartOrder {
   std::string Task;
--- a/src/pistachioflow/platform/codecs_test.cpp
+++ b/src/pistachioflow/platform/codecs_test.cpp
@@ -77,6 +77,23 @@
   REQUIRE(decodeWorkerReport(Text).has_value() == Valid);
 }
 
+// Guards against an owner that one worker keeps from storing anything.
+TEST_CASE("a checkpoint too long to be stored counts as none") {
+  const auto [Bytes, Kept] =
+      GENERATE(table<std::size_t, bool>({{0, true},
+                                         {100, true},
+                                         {MaxCheckpointBytes, true},
+                                         {MaxCheckpointBytes + 1, false}}));
+  const std::string Checkpoint(Bytes, 'c');
+  const auto Report = decodeWorkerReport(
+      R"({"clock_ms":1,"running":[["t",2,")" + Checkpoint +
+      R"(",50,5]],"ended_runs":[[1,"u",1,"stopped",")" + Checkpoint + "\"]]}");
+  REQUIRE(Report);
+  const std::string Expected = Kept ? Checkpoint : std::string();
+  REQUIRE(Report->Running.front().Checkpoint == Expected);
+  REQUIRE(Report->Ended.front().Checkpoint == Expected);
+}
+
 TEST_CASE("a submitted job is validated") {
   const auto [Text, Valid] = GENERATE(table<std::string, bool>(
       {{R"({"specification":"x","steps":[{"count":4,"cpu":500}]})", true},
--- a/src/pistachioflow/platform/worker_client.cpp
+++ b/src/pistachioflow/platform/worker_client.cpp
@@ -111,6 +111,12 @@
   return Answer;
 }
 
+/// Returns a checkpoint, or none where it is too long to be stored.
+std::string decodeCheckpoint(const Json &Field) {
+  const auto &Text = Field.get_ref<const std::string &>();
+  return Text.size() <= MaxCheckpointBytes ? Text : std::string();
+}
+
 std::optional<RunningTask> decodeRunning(const Json &Row) {
   const bool WellFormed = Row.is_array() && Row.size() >= RunningColumns &&
                           Row[0].is_string() && isCount(Row[1]) &&
@@ -118,8 +124,7 @@
   if (!WellFormed)
     return std::nullopt;
   RunningTask Task{Row[0].get<std::string>(), Row[1].get<std::int64_t>(),
-                   Row[2].get<std::string>(),
-                   readLimited(Row[3], PercentRange)};
+                   decodeCheckpoint(Row[2]), readLimited(Row[3], PercentRange)};
   if (Row.size() > RunningColumns && Row[4].is_number())
     Task.CpuMilli = readLimited(Row[4], {-1, NonNegative.Max});
   return Task;
@@ -135,7 +140,7 @@
   return EndedRun{Row[0].get<std::int64_t>(), Row[1].get<std::string>(),
                   Row[2].get<std::int64_t>(),
                   decodeRunEnd(Row[3].get<std::string>()),
-                  Row[4].get<std::string>()};
+                  decodeCheckpoint(Row[4])};
 }
 
 std::string readAddress(ObjectReader &Reader, Findings &Problems) {
