--- a/include/pistachioflow/entry/caller_api.hpp
+++ b/include/pistachioflow/entry/caller_api.hpp
@@ -39,6 +39,13 @@
   /// Returns the response that refuses the request; or status 0, with
   /// \p Target filled, when it passes.
   HttpResponse filter(const HttpRequest &Request, CallTarget &Target) const;
+  /// Whether a caller may read and cancel a job: with a key of its workspace,
+  /// or with any or none where the job's own route is public.
+  bool mayAccess(const CallTarget &Target,
+                 const JobStatusTable::Entry &Job) const;
+  /// Returns the response to callers without access to the job.
+  static HttpResponse accessDenied(std::string_view Call,
+                                   const CallTarget &Target);
   asio::awaitable<HttpResponse> submit(CallTarget Target, std::string Body);
   asio::awaitable<HttpResponse> state(CallTarget Target);
   asio::awaitable<HttpResponse> cancel(CallTarget Target);
--- a/include/pistachioflow/entry/job_status_table.hpp
+++ b/include/pistachioflow/entry/job_status_table.hpp
@@ -17,6 +17,7 @@
 public:
   struct Entry {
     std::string Queue;
+    std::string Workspace; ///< Empty: submitted without a key.
     JobPhase Phase = JobPhase::Queued;
     bool CancelRequested = false;
     /// False while only a part of its records is deleted.
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -100,6 +100,26 @@
   co_return emptyResponse(405);
 }
 
+bool CallerApi::mayAccess(const CallTarget &Target,
+                          const JobStatusTable::Entry &Job) const {
+  if (Job.Workspace.empty() || Job.Workspace == Target.Workspace)
+    return true;
+  const QueueConfig *Queue = findQueueByName(this->Desired, Job.Queue);
+  return Target.Queue->Public && Queue && Queue->Public;
+}
+
+HttpResponse CallerApi::accessDenied(std::string_view Call,
+                                     const CallTarget &Target) {
+  entryMetrics().CallsFiltered.add();
+  logEvent(LogLevel::Warning, "call_refused",
+           {{"id", Target.JobId},
+            {"status", 403},
+            {"reason", "other_workspace"},
+            {"call", Call},
+            {"workspace", Target.Workspace}});
+  return {403, {}, "the job belongs to another workspace"};
+}
+
 bool CallerApi::storeFailing() const {
   const Instant Since = this->Writer.failingSince();
   return Since.Ms != 0 && this->Time.monotonic() - Since > FailingLimit;
@@ -109,7 +129,9 @@
                                                 std::string Body) {
   const Instant StartedAt = this->Time.monotonic();
   const auto Elapsed = [&] { return this->Time.monotonic() - StartedAt; };
-  if (this->JobStatuses.find(Target.JobId)) {
+  if (const auto *Known = this->JobStatuses.find(Target.JobId)) {
+    if (!this->mayAccess(Target, *Known))
+      co_return accessDenied("submit", Target);
     logCall("submit_repeated", Target.JobId, 200, "known", Elapsed());
     co_return emptyResponse(200);
   }
@@ -179,6 +201,8 @@
     logCall("state_unknown", Target.JobId, 410, "no_such_job", {});
     co_return emptyResponse(410);
   }
+  if (!this->mayAccess(Target, *Status))
+    co_return accessDenied("state", Target);
   entryMetrics().StatesAnswered.add();
   co_return jsonResponse(encodeJobState(reportedPhase(*Status)));
 }
@@ -196,6 +220,8 @@
       co_return Refreshed ? emptyResponse(410) : refusal(503, StoreRetryAfterS);
     }
   }
+  if (!this->mayAccess(Target, *Status))
+    co_return accessDenied("cancel", Target);
   if (hasEnded(reportedPhase(*Status))) {
     logCall("cancel_repeated", Target.JobId, 200,
             toString(reportedPhase(*Status)), Elapsed());
--- a/src/pistachioflow/entry/job_status_table.cpp
+++ b/src/pistachioflow/entry/job_status_table.cpp
@@ -18,8 +18,10 @@
     const auto Decoded = decodeRecord<SubmissionRecord>(Record.Value);
     if (!Decoded)
       return false;
-    this->Jobs[Id].Queue = Decoded->Queue;
-    this->Jobs[Id].Submitted = true;
+    Entry &Job = this->Jobs[Id];
+    Job.Queue = Decoded->Queue;
+    Job.Workspace = Decoded->Workspace;
+    Job.Submitted = true;
     return true;
   }
   case RecordKind::Cancellation:
--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -23,7 +23,6 @@
 constexpr Duration PollPause{25};
 constexpr Duration RetryPause{100};
 const std::string Host = "queue.example";
-const std::string Prefix = "/q/";
 
 /// Returns a port that is free now; the daemon binds it later.
 /// Returns a port that is free now and that this process has not chosen before.
@@ -47,25 +46,34 @@
 
 Json desiredState() {
   const Json Queue = {
-      {"name", "queue"},  {"host", Host},        {"path_prefix", Prefix},
+      {"name", "queue"},  {"host", Host},        {"path_prefix", PrivatePath},
       {"kind", "unsafe"}, {"timeout_ms", 3'000}, {"target_duration_ms", 1'000},
       {"priority", 1},    {"service", "svc"},    {"max_attempts", 3},
       {"stretch", 3.0},   {"public", false}};
+  Json PublicQueue = Queue;
+  PublicQueue["name"] = "public_queue";
+  PublicQueue["path_prefix"] = PublicPath;
+  PublicQueue["public"] = true;
   return {{"version", 7},
-          {"routes", Json::array({Queue})},
+          {"routes", Json::array({Queue, PublicQueue})},
           {"services", Json::array()},
           {"limits", Json::object()},
           {"tenants", Json::array({{{"name", "team"},
                                     {"api_keys", Json::array({"key"})},
-                                    {"guaranteed", {{"gpus", 8}}}}})}};
+                                    {"guaranteed", {{"gpus", 8}}}},
+                                   {{"name", "other"},
+                                    {"api_keys", Json::array({"other-key"})},
+                                    {"guaranteed", {{"gpus", 0}}}}})}};
 }
 
-HttpRequest request(std::string Method, const std::string &JobId) {
+HttpRequest request(std::string Method, const std::string &JobId,
+                    const CallerIdentity &Caller) {
   HttpRequest Request;
   Request.Method = std::move(Method);
-  Request.Target = Prefix + JobId;
+  Request.Target = Caller.Path + JobId;
   Request.Headers.push_back({"Host", Host});
-  Request.Headers.push_back({"Authorization", "Bearer key"});
+  if (!Caller.Key.empty())
+    Request.Headers.push_back({"Authorization", "Bearer " + Caller.Key});
   return Request;
 }
 
@@ -218,7 +226,7 @@
   for (int Attempt = 0; Attempt < Attempts && !Job.Accepted; ++Attempt) {
     const std::size_t Index =
         (First + static_cast<std::size_t>(Attempt)) % this->Members.size();
-    HttpRequest Request = request("POST", Job.Id);
+    HttpRequest Request = request("POST", Job.Id, this->Caller);
     Request.Body = Job.Body;
     const CallResult Call = co_await this->Members[Index]->CallerClient->call(
         std::move(Request), this->CallTimeout);
@@ -236,7 +244,7 @@
 
 asio::awaitable<std::string> Fleet::queryState(const std::string &JobId,
                                                std::size_t Member) {
-  HttpRequest Request = request("GET", JobId);
+  HttpRequest Request = request("GET", JobId, this->Caller);
   const CallResult Call =
       co_await this->Members[Member % this->Members.size()]->CallerClient->call(
           std::move(Request), this->CallTimeout);
@@ -252,11 +260,18 @@
 
 asio::awaitable<bool> Fleet::cancel(const std::string &JobId,
                                     std::size_t Member) {
-  HttpRequest Request = request("DELETE", JobId);
+  co_return co_await this->statusOf("DELETE", SubmittedJob{JobId}, Member) ==
+      200;
+}
+
+asio::awaitable<int> Fleet::statusOf(std::string Method, SubmittedJob Job,
+                                     std::size_t Member) {
+  HttpRequest Request = request(std::move(Method), Job.Id, this->Caller);
+  Request.Body = Job.Body;
   const CallResult Call =
       co_await this->Members[Member % this->Members.size()]->CallerClient->call(
           std::move(Request), this->CallTimeout);
-  co_return Call.Outcome == CallOutcome::Answered &&Call.Response.Status == 200;
+  co_return Call.Outcome == CallOutcome::Answered ? Call.Response.Status : 0;
 }
 
 asio::awaitable<bool> Fleet::waitUntil(std::function<bool()> Done,
--- a/tests/platform/fleet.hpp
+++ b/tests/platform/fleet.hpp
@@ -22,6 +22,18 @@
 /// What each worker of a fleet offers at first.
 inline constexpr Resources WorkerCapacity{16'000, 16'000, 8};
 
+/// \name Paths of the queues of a fleet
+/// @{
+inline const std::string PrivatePath = "/q/"; ///< Needs a key of a workspace.
+inline const std::string PublicPath = "/open/";
+/// @}
+
+/// How the client of a test calls the daemons.
+struct CallerIdentity {
+  std::string Key = "key"; ///< Empty: it sends none.
+  std::string Path = PrivatePath;
+};
+
 /// One daemon process of a test. It reaches the store through a proxy.
 struct FleetMember {
   std::string Name;
@@ -90,6 +102,10 @@
   /// other errors or no answer.
   asio::awaitable<std::string> queryState(const std::string &JobId,
                                           std::size_t Member);
+  /// Makes one call about a job, with its body. Returns the status of the
+  /// answer, or 0 without one.
+  asio::awaitable<int> statusOf(std::string Method, SubmittedJob Job,
+                                std::size_t Member);
   asio::awaitable<bool> cancel(const std::string &JobId, std::size_t Member);
 
   /// Polls until \p Done holds or \p Timeout has passed.
@@ -116,6 +132,7 @@
 
 public:
   SystemClock Time;
+  CallerIdentity Caller;       ///< Of the calls that follow.
   Duration CallTimeout{3'500}; ///< Of a client; its deadline is 3 s.
   std::int64_t CallsWithoutAnswer = 0;
   PlatformServer Platform;
