--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -6,9 +6,9 @@
 #include <utility>
 
 #include "candidate_workers.hpp"
-#include "fit_bounds.hpp"
 #include "pistachioflow/sched/reservation.hpp"
 #include "preemption.hpp"
+#include "worker_finder.hpp"
 
 namespace pistachioflow {
 
@@ -64,7 +64,8 @@
         std::span<const PlacedUnit> Placed, GuaranteeLedger Guarantees)
       : Workers(Workers), Waiting(Waiting.begin(), Waiting.end()),
         Placed(Placed), Stopping(std::make_unique<bool[]>(Placed.size())),
-        Held(Waiting.size()), Guarantees(std::move(Guarantees)) {
+        Held(Waiting.size()), Guarantees(std::move(Guarantees)),
+        Finder(Workers) {
     for (std::size_t Index = 0; Index < Placed.size(); ++Index)
       this->Stopping[Index] = Placed[Index].Stopping;
     this->MayHoldBack =
@@ -95,6 +96,7 @@
                              Unit.IgnoresReservations, Unit.LastAttempt,
                              this->isHeldBack(Index)};
     }
+    this->Plan.Searches += this->Finder.searches();
     return std::move(this->Plan);
   }
 
@@ -169,31 +171,6 @@
     return Overdue;
   }
 
-  /// Looks for workers, unless an earlier search of this round has shown that
-  /// there are too few.
-  std::optional<WorkerChoice> search(const WaitingUnit &Unit,
-                                     std::span<const std::string_view> Racks,
-                                     Resources PlacementWorker::*Free) {
-    const bool IsKnownKind = Unit.Step->MaxPerWorker <= 0;
-    const FitKind Kind = fitKind(Unit);
-    FitBounds &Known = this->boundsFor(Free);
-    if (IsKnownKind && Known.excludes(Kind, Unit.TaskCount, Racks))
-      return std::nullopt;
-    ++this->Plan.Searches;
-    WorkerSearch Found = searchWorkers(this->Workers, Unit, Racks, Free);
-    if (IsKnownKind && !Found.Choice)
-      Known.learn(Kind, Unit.TaskCount, Found.Fitting, Racks, Found.OnOneRack);
-    return std::move(Found.Choice);
-  }
-
-  FitBounds &boundsFor(Resources PlacementWorker::*Free) {
-    if (Free == &PlacementWorker::FreeNow)
-      return this->FitsNow;
-    return Free == &PlacementWorker::FreeAfterStops
-               ? this->FitsAfterStops
-               : this->FitsAfterExpectedEnds;
-  }
-
   /// Chooses free workers for a unit: those that it prefers, or else any that
   /// it fits on if it accepts them. Notes a unit that preferences or
   /// reservations hold back.
@@ -202,16 +179,16 @@
     WaitingUnit Unit = this->Waiting[Index];
     Unit.AcceptsAnyWorker = Unit.IgnoresReservations = false;
     Unit.AcceptsSuspended = false;
-    auto Preferred = this->search(Unit, Racks, &PlacementWorker::FreeNow);
+    auto Preferred = this->Finder.find(Unit, Racks, &PlacementWorker::FreeNow);
     if (Preferred || (Racks.empty() && !this->MayHoldBack))
       return Preferred;
     if (this->Waiting[Index].AcceptsAnyWorker)
-      if (auto Accepted =
-              this->search(this->Waiting[Index], {}, &PlacementWorker::FreeNow))
+      if (auto Accepted = this->Finder.find(this->Waiting[Index], {},
+                                            &PlacementWorker::FreeNow))
         return Accepted;
     Unit.AcceptsAnyWorker = Unit.IgnoresReservations = true;
     Unit.AcceptsSuspended = !Unit.LastAttempt;
-    if (this->search(Unit, {}, &PlacementWorker::FreeNow))
+    if (this->Finder.find(Unit, {}, &PlacementWorker::FreeNow))
       this->Plan.HeldBack.push_back(Index);
     return std::nullopt;
   }
@@ -229,13 +206,13 @@
       return true;
     }
     if (auto Later =
-            this->search(Unit, Racks, &PlacementWorker::FreeAfterStops)) {
+            this->Finder.find(Unit, Racks, &PlacementWorker::FreeAfterStops)) {
       occupy(this->Workers, *Later, PerTask);
       return false;
     }
     if (Unit.WaitsForExpectedEnds) {
-      const auto Wait =
-          this->search(Unit, Racks, &PlacementWorker::FreeAfterExpectedEnds);
+      const auto Wait = this->Finder.find(
+          Unit, Racks, &PlacementWorker::FreeAfterExpectedEnds);
       if (Wait) {
         occupy(this->Workers, *Wait, PerTask);
         return false;
@@ -261,7 +238,7 @@
     const bool Planned = this->preemptFor(Index, Racks);
     if (Planned || Racks.empty() || !this->mayReclaim(Unit))
       return false;
-    if (auto Chosen = this->search(Unit, {}, &PlacementWorker::FreeNow)) {
+    if (auto Chosen = this->Finder.find(Unit, {}, &PlacementWorker::FreeNow)) {
       this->start(Index, std::move(*Chosen));
       return true;
     }
@@ -276,9 +253,7 @@
     const Resources PerTask = countedDemand(*Unit.Step);
     const WorkerChoice Claimed = *this->Held[Index];
     release(this->Workers, Claimed, PerTask);
-    this->FitsNow.clear();
-    this->FitsAfterStops.clear();
-    this->FitsAfterExpectedEnds.clear();
+    this->Finder.forgetAll();
     std::optional<WorkerChoice> Chosen = this->completeClaim(Unit, Claimed);
     if (!Chosen)
       Chosen = this->chooseNow(Index, allowedRacks(this->Workers, Unit));
@@ -450,8 +425,7 @@
       this->Guarantees.use(Other.Workspace, -acceleratorsOf(Other));
     for (const std::size_t Worker : Other.WorkerIndices)
       this->addExpectedCapacity(this->Workers[Worker], Other.TaskResources);
-    this->FitsAfterStops.clear();
-    this->FitsAfterExpectedEnds.clear();
+    this->Finder.forgetLater();
   }
 
   WorkerSpan Workers;
@@ -466,38 +440,12 @@
   std::size_t StartedTasks = 0;
   /// Some workers are reserved for other work, suspended or on probation.
   bool MayHoldBack = false;
-  FitBounds FitsNow;
-  FitBounds FitsAfterStops;
-  FitBounds FitsAfterExpectedEnds;
+  WorkerFinder Finder;
   /// What the placed units release; listed once it is asked for.
   std::optional<ReleasesByWorker> Releases;
   PlacementPlan Plan;
 };
 
-} // namespace
-
-std::optional<std::size_t>
-planReplacement(std::span<PlacementWorker> Workers, const WaitingUnit &Gang,
-                std::span<const std::string_view> Racks) {
-  const bool StaysOnRack =
-      !Racks.empty() &&
-      std::ranges::count(Racks, Racks.front()) == std::ranges::ssize(Racks);
-  const bool OneRack = Gang.Step->TightlyCoupled && StaysOnRack;
-  const bool NearData = !Gang.Step->DataRack.empty() && StaysOnRack &&
-                        Racks.front() == Gang.Step->DataRack;
-  for (const CandidateWorker &Entry :
-       findCandidates(Workers, Gang, &PlacementWorker::FreeNow)) {
-    const std::string_view Rack = Workers[Entry.Worker].Rack;
-    const bool Allowed = (!OneRack || Rack == Racks.front()) &&
-                         (!NearData || Rack == Gang.Step->DataRack);
-    if (Allowed && !Entry.Avoided)
-      return Entry.Worker;
-  }
-  return std::nullopt;
-}
-
-namespace {
-
 /// Drops the reservations for urgent work if more than half of the workers have
 /// one.
 void limitUrgentReservations(WorkerSpan Workers) {
