--- a/include/pistachioflow/entry/unwanted_runs.hpp
+++ b/include/pistachioflow/entry/unwanted_runs.hpp
@@ -29,6 +29,11 @@
   void stopAccepted(const std::string &Task, std::int64_t Run,
                     Instant RepeatAt);
 
+  /// Whether the newest report lists the run as unwanted.
+  bool contains(const std::string &Task, std::int64_t Run) const {
+    return this->RepeatAt.contains({Task, Run});
+  }
+
   bool empty() const { return this->RepeatAt.empty(); }
 
 private:
--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -47,6 +47,7 @@
 struct WorkerFaults {
   double DelayedStartShare = 0; ///< Share of starts delayed, unanswered.
   Duration StartDelay{1'500};
+  std::int64_t RefusedStops = 0; ///< The next stops, that many, get 503.
   /// Calls across it are neither carried out nor answered.
   std::optional<Partition> Cut;
 };
--- a/src/pistachioflow/entry/unwanted_runs_test.cpp
+++ b/src/pistachioflow/entry/unwanted_runs_test.cpp
@@ -34,6 +34,8 @@
   Runs.update(Reported, {1'000});
   Runs.stopAccepted("task", 1, {1'900});
   REQUIRE_FALSE(Runs.empty());
+  REQUIRE(Runs.contains("task", 1));
+  REQUIRE_FALSE(Runs.contains("task", 2));
   REQUIRE(Runs.update({}, {1'010}).empty());
   REQUIRE(Runs.empty());
   REQUIRE(Runs.update(Reported, {1'020}).size() == 1);
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -175,7 +175,10 @@
       break;
     }
     co_await pauseFor(this->Io, OrderRetryPause);
-    if (!WasMember || !IsMember())
+    // A worker that answers no holds reports the run again once it does.
+    const bool Reported = Worker->UnresponsiveSince.Ms == 0 &&
+                          Worker->Unwanted.contains(Task, Run);
+    if (!Reported && (!WasMember || !IsMember()))
       break;
   }
   Term->PendingStops.erase({Task, Run});
--- a/src/pistachioflow/platform_standin/platform_server_workers.cpp
+++ b/src/pistachioflow/platform_standin/platform_server_workers.cpp
@@ -180,7 +180,12 @@
   const Json Body = Json::parse(Request.Body, nullptr, false);
   HttpResponse Response;
   Response.Status = 404;
-  if (Request.Target == "/run-stop" && Body.is_object())
+  const bool IsStop = Request.Target == "/run-stop" && Body.is_object();
+  if (IsStop && this->WorkerBehaviour.RefusedStops > 0) {
+    --this->WorkerBehaviour.RefusedStops;
+    co_return HttpResponse{503, {}, {}};
+  }
+  if (IsStop)
     Response = orderResponse(this->Simulator.stop(
         Id, Body.value("task", ""), Body.value("run", std::int64_t{0}),
         Body.value("fencing_token", std::int64_t{0}), this->Time.monotonic()));
--- a/tests/platform/unwanted_run_test.cpp
+++ b/tests/platform/unwanted_run_test.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t UnwantedWorkMs = 10'000;
 /// As on the platform; the run is listed all the while.
 constexpr Duration StopTime{900};
+/// In which the platform expects an owner to stop what it finds.
+constexpr Duration ContactTimeout{3'000};
 /// The first one, and one more if its answer or the end is late.
 constexpr std::int64_t MaxStops = 2;
 const std::string UnwantedJob = "00000000000000ff";
@@ -43,11 +45,12 @@
   Daemons.Platform.Simulator.start("w0", Order, Now);
 }
 
-asio::awaitable<void> waitForRuns(Fleet &Daemons, std::int64_t Count) {
+asio::awaitable<void> waitForRuns(Fleet &Daemons, std::int64_t Count,
+                                  Duration Limit) {
   const std::function<bool()> Reached = [&Daemons, Count] {
     return Daemons.Platform.Simulator.runningCount() == Count;
   };
-  if (!co_await Daemons.waitUntil(Reached, StartLimit))
+  if (!co_await Daemons.waitUntil(Reached, Limit))
     Daemons.recordViolation("never " + std::to_string(Count) + " runs");
 }
 
@@ -56,17 +59,21 @@
 // Guards against an owner that sends stops and holds without a pause until the
 // run has ended: 1,100 in 0.2 s.
 TEST_CASE("a run that no job wants is told to stop once") {
+  const std::int64_t RefusedStops = GENERATE(0, 3);
+  CAPTURE(RefusedStops);
   Fleet Fixture(Instances, WorkerCount, 1, folder("unwanted_run"));
   Fixture.Platform.Simulator.Limits.StopTime = StopTime;
+  Fixture.Platform.WorkerBehaviour.RefusedStops = RefusedStops;
   const std::vector<std::string> Violations =
       Fixture.run([](Fleet &Daemons) -> asio::awaitable<void> {
         co_await waitForOwner(Daemons);
         std::vector<SubmittedJob> Jobs{oneTaskOnEachWorker()};
         co_await submitAll(Daemons, Jobs);
-        co_await waitForRuns(Daemons, WorkerCount);
+        co_await waitForRuns(Daemons, WorkerCount, StartLimit);
         startUnwantedRun(Daemons);
-        co_await waitForRuns(Daemons, WorkerCount + 1);
-        co_await waitForRuns(Daemons, 0);
+        co_await waitForRuns(Daemons, WorkerCount + 1, StartLimit);
+        co_await waitForRuns(Daemons, 1, StartLimit);
+        co_await waitForRuns(Daemons, 0, ContactTimeout);
         const std::int64_t Stops = Daemons.Platform.Simulator.stopCount();
         if (Stops > MaxStops)
           Daemons.recordViolation(std::to_string(Stops) + " stops");
