--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -260,8 +260,11 @@
 
 asio::awaitable<bool> Fleet::cancel(const std::string &JobId,
                                     std::size_t Member) {
-  co_return co_await this->statusOf("DELETE", SubmittedJob{JobId}, Member) ==
-      200;
+  // Not a temporary in the call: g++ 12 destroys an aggregate there twice.
+  SubmittedJob Job;
+  Job.Id = JobId;
+  const int Status = co_await this->statusOf("DELETE", std::move(Job), Member);
+  co_return Status == 200;
 }
 
 asio::awaitable<int> Fleet::statusOf(std::string Method, SubmittedJob Job,
