--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the second review's cases (6 to 10) into target/review-2/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+"${CXX:-g++}" -std=c++20 -O1 -fcoroutines -DASIO_STANDALONE -pthread -Wall -Wextra -Wno-mismatched-new-delete \
+  -o target/review-2/cases review/stand-ins-2/world.cpp review/stand-ins-2/cases.cpp
