--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 "${CXX:-g++}" -std=c++20 -O1 -fcoroutines -DASIO_STANDALONE -pthread -Wall -Wextra -Wno-mismatched-new-delete \
-  -o target/review-2/cases review/stand-ins-2/world.cpp review/stand-ins-2/cases.cpp
+  -o target/review-2/cases.new review/stand-ins-2/world.cc review/stand-ins-2/cases.cc
+mv target/review-2/cases.new target/review-2/cases
--- a/review/stand-ins-2/cases.cpp
+++ b/review/stand-ins-2/cases.cc
@@ -1,4 +1,4 @@
-#include "world.hpp"
+#include "world.h"
 
 #include <csignal>
 #include <numeric>
@@ -6,24 +6,32 @@
 namespace {
 
 Json step(std::int64_t Count, const Resources &Needs, std::int64_t Ms) {
-  Json Step = {{"count", Count}, {"cpu", Needs.Cpu}, {"memory_request_mb", Needs.Mem}, {"estimated_duration_ms", Ms}};
+  Json Step = {{"count", Count},
+               {"cpu", Needs.Cpu},
+               {"memory_request_mb", Needs.Mem},
+               {"estimated_duration_ms", Ms}};
   if (Needs.Gpus > 0)
     Step["gpus"] = Needs.Gpus;
   return Step;
 }
 
-std::string specification(const Resources &Needs, std::int64_t Ms, bool Lasts = false) {
-  return "work=" + std::to_string(Ms) + " cpu=" + std::to_string(Needs.Cpu) + " mem=" + std::to_string(Needs.Mem) +
-         " gpus=" + std::to_string(Needs.Gpus) + " lasts=" + (Lasts ? "1" : "0");
+std::string specification(const Resources &Needs, std::int64_t Ms,
+                          bool Lasts = false) {
+  return "work=" + std::to_string(Ms) + " cpu=" + std::to_string(Needs.Cpu) +
+         " mem=" + std::to_string(Needs.Mem) +
+         " gpus=" + std::to_string(Needs.Gpus) +
+         " lasts=" + (Lasts ? "1" : "0");
 }
 
 /// Starts a small deployment. Returns whether all daemons are ready.
 awaitable<bool> begin(World &Of, std::size_t Daemons, std::size_t Runners) {
   constexpr std::size_t PerRack = 8;
   for (std::size_t Index = 0; Index < Runners; ++Index)
-    Of.Workers.add("a", "r1-" + std::to_string(1 + Index / PerRack), {32'000, 131'072, 8});
+    Of.Workers.add("a", "r1-" + std::to_string(1 + Index / PerRack),
+                   {32'000, 131'072, 8});
   Of.publish();
-  Of.Workers.start(1500, Of.Entries.Bounds["max_hold_ms"], Of.Entries.Bounds["stop_timeout_ms"]);
+  Of.Workers.start(1500, Of.Entries.Bounds["max_hold_ms"],
+                   Of.Entries.Bounds["stop_timeout_ms"]);
   Of.Entries.add(Daemons);
   for (std::size_t Index = 0; Index < Daemons; ++Index)
     Of.Entries.start(Index);
@@ -49,7 +57,8 @@
   constexpr std::int64_t Count = 1'300, WorkMs = 7'000;
   const Resources Needs{40, 128, 0};
   const std::string Id = "5c0e7a21d94b36f8";
-  const Json Job = {{"specification", specification(Needs, WorkMs)}, {"steps", {step(Count, Needs, WorkMs)}}};
+  const Json Job = {{"specification", specification(Needs, WorkMs)},
+                    {"steps", {step(Count, Needs, WorkMs)}}};
   if (co_await Of.submit(0, Id, Job) != 200)
     co_return 2;
   const std::int64_t Begun = nowMs();
@@ -84,13 +93,16 @@
     co_return 2;
   const Resources Needs{4'000, 8'192, 1};
   const std::string Id = "4b1d7a21d94b36f9", Task = Id + ".0.0.0";
-  const std::string Specification = specification(Needs, 2'500) + (Of.Trouble ? " deadly=1" : "");
-  const Json Job = {{"specification", Specification}, {"steps", {step(1, Needs, 2'500)}}};
+  const std::string Specification =
+      specification(Needs, 2'500) + (Of.Trouble ? " deadly=1" : "");
+  const Json Job = {{"specification", Specification},
+                    {"steps", {step(1, Needs, 2'500)}}};
   if (co_await Of.submit(0, Id, Job) != 200)
     co_return 2;
   std::string State;
   const std::int64_t Begun = nowMs();
-  while (nowMs() - Begun < 70'000 && State != "completed" && State != "failed") {
+  while (nowMs() - Begun < 70'000 && State != "completed" &&
+         State != "failed") {
     co_await sleepMs(1000);
     State = co_await Of.state(1, Id);
   }
@@ -99,7 +111,8 @@
   note("%zu starts", Starts);
   std::vector<std::string> Breaches;
   if (Of.Trouble && Starts >= 6)
-    Breaches.push_back("started " + std::to_string(Starts - 3) + " times more after three runners had crashed under it");
+    Breaches.push_back("started " + std::to_string(Starts - 3) +
+                       " times more after three runners had crashed under it");
   co_return verdict(Breaches);
 }
 
@@ -111,7 +124,8 @@
     co_return 2;
   const Resources Needs{1'000, 1'024, 1};
   const std::string Id = "3a2d7a21d94b36f7";
-  const Json Job = {{"specification", specification(Needs, 800)}, {"steps", {step(2, Needs, 800)}}};
+  const Json Job = {{"specification", specification(Needs, 800)},
+                    {"steps", {step(2, Needs, 800)}}};
   // Another job, so that the daemon has open channels to the store.
   co_await Of.submit(0, "3a2d7a21d94b3600", Job);
   co_await sleepMs(200);
@@ -142,7 +156,8 @@
     co_return 2;
   const Resources Needs{1'000, 1'024, 1};
   const std::string Id = "2f4c7a21d94b36f5", Warm = "2f4c7a21d94b3600";
-  const Json Job = {{"specification", specification(Needs, 2'500)}, {"steps", {step(3, Needs, 2'500)}}};
+  const Json Job = {{"specification", specification(Needs, 2'500)},
+                    {"steps", {step(3, Needs, 2'500)}}};
   // Another job, so that the daemon has open channels to the store.
   if (co_await Of.submit(0, Warm, Job) != 200)
     co_return 2;
@@ -169,8 +184,10 @@
   for (const auto &[Name, Seen] : Of.Workers.Tasks)
     for (const History::Start &Start : Seen.Starts)
       if (Name.starts_with(Id) && Start.At > CancelledAt + CancelMs)
-        Breaches.push_back(Name + " starts " + std::to_string(Start.At - CancelledAt) +
-                           " ms after the cancelling of its job was acknowledged with " + std::to_string(Cancelled));
+        Breaches.push_back(
+            Name + " starts " + std::to_string(Start.At - CancelledAt) +
+            " ms after the cancelling of its job was acknowledged with " +
+            std::to_string(Cancelled));
   co_return verdict(Breaches);
 }
 
@@ -184,7 +201,8 @@
   const std::string Id = "1e5d7a21d94b36f3", Task = Id + ".0.0.0";
   Json Step = step(1, Needs, 0);
   Step["long_running"] = true;
-  const Json Job = {{"specification", specification(Needs, 0, true)}, {"steps", {Step}}};
+  const Json Job = {{"specification", specification(Needs, 0, true)},
+                    {"steps", {Step}}};
   if (co_await Of.submit(0, Id, Job) != 200)
     co_return 2;
   co_await sleepMs(600);
@@ -223,6 +241,10 @@
 
 const std::map<std::string, Case> &cases() {
   static const std::map<std::string, Case> All{
-      {"many-ends", manyEnds}, {"deadly", deadly}, {"late-append", lateAppend}, {"cancelled-first", cancelledFirst}, {"long-cut", longCut}};
+      {"many-ends", manyEnds},
+      {"deadly", deadly},
+      {"late-append", lateAppend},
+      {"cancelled-first", cancelledFirst},
+      {"long-cut", longCut}};
   return All;
 }
