--- a/review/stand-ins-2/cases.cc
+++ b/review/stand-ins-2/cases.cc
@@ -237,14 +237,67 @@
   co_return verdict(Breaches);
 }
 
+/// LOST: tasks that last fail again and again; a job on its last attempt waits.
+awaitable<int> lastAttempt(World &Of) {
+  if (!co_await begin(Of, 3, 8))
+    co_return 2;
+  const Resources Needs{1'000, 1'024, 1};
+  constexpr int Lasting = 2;
+  Json Lasts = step(1, Needs, 0);
+  Lasts["long_running"] = true;
+  const Json Service = {{"specification", specification(Needs, 0, true)},
+                        {"steps", {Lasts}}};
+  for (int Index = 0; Index < Lasting; ++Index) {
+    char Id[20];
+    std::snprintf(Id, sizeof(Id), "77777777777777%02x", Index);
+    if (co_await Of.submit(0, Id, Service) != 200)
+      co_return 2;
+  }
+  co_await sleepMs(4000);
+  if (Of.Trouble) {
+    Of.Workers.LastingFail = true;
+    note("tasks that last begin to fail");
+  }
+  co_await sleepMs(2000);
+  const std::string Id = "6c3e7a21d94b36f1", Task = Id + ".0.0.0";
+  const Json Job = {{"specification", specification(Needs, 1'000) + " fails=3"},
+                    {"steps", {step(1, Needs, 1'000)}}};
+  if (co_await Of.submit(0, Id, Job) != 200)
+    co_return 2;
+  const std::int64_t SubmittedAt = nowMs();
+  const std::int64_t FinishMs =
+      Of.Entries.Bounds["finish_s"].get<std::int64_t>() * 1'000;
+  std::string State;
+  std::int64_t RunningAt = nowMs(), Longest = 0;
+  std::int64_t NextLook = 0;
+  while (nowMs() - SubmittedAt < 60'000 && State != "completed" &&
+         State != "failed") {
+    co_await sleepMs(50);
+    // From finish_s after the last submission. Each task takes an accelerator
+    // of 64, so that the room is free all the while.
+    if (Of.Workers.runnerOf(Task) || nowMs() - SubmittedAt < FinishMs)
+      RunningAt = nowMs();
+    Longest = std::max(Longest, nowMs() - RunningAt);
+    if (nowMs() < NextLook)
+      continue;
+    State = co_await Of.state(1, Id);
+    NextLook = nowMs() + 1'000;
+  }
+  note("the job is %s; without a run for %lld ms", State.c_str(),
+       static_cast<long long>(Longest));
+  std::vector<std::string> Breaches;
+  if (Longest >= 3'000)
+    Breaches.push_back("nothing of the job has run for " +
+                       std::to_string(Longest) + " ms");
+  co_return verdict(Breaches);
+}
+
 } // namespace
 
 const std::map<std::string, Case> &cases() {
   static const std::map<std::string, Case> All{
-      {"many-ends", manyEnds},
-      {"deadly", deadly},
-      {"late-append", lateAppend},
-      {"cancelled-first", cancelledFirst},
-      {"long-cut", longCut}};
+      {"many-ends", manyEnds},     {"deadly", deadly},
+      {"late-append", lateAppend}, {"cancelled-first", cancelledFirst},
+      {"long-cut", longCut},       {"last-attempt", lastAttempt}};
   return All;
 }
--- a/review/stand-ins-2/world.cc
+++ b/review/stand-ins-2/world.cc
@@ -493,6 +493,8 @@
       Result.Lasts = Value != 0;
     else if (Name == "deadly")
       Result.Deadly = Value != 0;
+    else if (Name == "fails")
+      Result.Fails = Value;
   }
   return Result;
 }
@@ -562,8 +564,12 @@
       Ends.emplace_back(Name, "lapsed");
     else if (Entry.StopsAt > 0 && Now >= Entry.StopsAt)
       Ends.emplace_back(Name, "stopped");
+    else if (Entry.What.Lasts && this->All.LastingFail &&
+             Now - Entry.StartedAt >= 100)
+      Ends.emplace_back(Name, "failed");
     else if (!Entry.What.Lasts && Now - Entry.StartedAt >= Entry.What.WorkMs)
-      Ends.emplace_back(Name, "done");
+      Ends.emplace_back(Name,
+                        Entry.Run <= Entry.What.Fails ? "failed" : "done");
   }
   for (const auto &[Name, How] : Ends)
     this->end(Name, How);
--- a/review/stand-ins-2/world.h
+++ b/review/stand-ins-2/world.h
@@ -127,12 +127,13 @@
 };
 
 /// What a task does, read from the specification of its job:
-/// "work=MS cpu=N mem=N gpus=N lasts=0|1 deadly=0|1".
+/// "work=MS cpu=N mem=N gpus=N lasts=0|1 deadly=0|1 fails=N".
 struct Task {
   std::int64_t WorkMs = 0;
   Resources Needs;
   bool Lasts = false;
-  bool Deadly = false; ///< It crashes each runner that starts it.
+  bool Deadly = false;    ///< It crashes each runner that starts it.
+  std::int64_t Fails = 0; ///< Its first runs, that many, end failed.
 };
 Task parseTask(const std::string &Specification);
 
@@ -221,6 +222,8 @@
   std::map<std::string, History> Tasks;
   std::vector<std::string> Together; ///< Two runs of a task at once.
   std::int64_t DoneCount = 0;
+  /// While set, tasks that last end failed 100 ms after their start.
+  bool LastingFail = false;
 
 private:
   awaitable<void> tickLoop();
