--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the second review's cases (6 to 10) into target/review-2/.
+# Builds the stand-ins of the second review's cases (from 6 on) into target/review-2/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/stand-ins-2/cases.cc
+++ b/review/stand-ins-2/cases.cc
@@ -1,5 +1,6 @@
 #include "world.h"
 
+#include <algorithm>
 #include <csignal>
 #include <numeric>
 
@@ -93,6 +94,16 @@
     co_return 2;
   const Resources Needs{4'000, 8'192, 1};
   const std::string Id = "4b1d7a21d94b36f9", Task = Id + ".0.0.0";
+  // One job of eleven is deadly; the others are sound and come first.
+  for (int Index = 0; Index < 10; ++Index) {
+    char Sound[20];
+    std::snprintf(Sound, sizeof(Sound), "4b1d7a21d94b3f%02x", Index);
+    const Json Other = {{"specification", specification(Needs, 2'500)},
+                        {"steps", {step(1, Needs, 2'500)}}};
+    if (co_await Of.submit(0, Sound, Other) != 200)
+      co_return 2;
+  }
+  co_await sleepMs(5'000);
   const std::string Specification =
       specification(Needs, 2'500) + (Of.Trouble ? " deadly=1" : "");
   const Json Job = {{"specification", Specification},
@@ -174,6 +185,15 @@
     co_return 2;
   const std::int64_t CancelledAt = nowMs();
   co_await sleepMs(CutAt + 5'000 - nowMs());
+  // The daemon that is cut off cannot be the one that leads now. As long as the
+  // runners see no higher token, it is that other one that starts tasks; it has
+  // been in touch all the while.
+  std::int64_t Token = 0;
+  for (const auto &Entry : Of.Workers.List)
+    Token = std::max(Token, Entry->Fence);
+  const std::size_t Leader = Of.Platform.busiestWriter();
+  note("%s leads, token %lld", Of.Entries.List[Leader].Name.c_str(),
+       static_cast<long long>(Token));
   Of.Platform.cut(Of.Entries.List[0].Link, false);
   if (Of.Trouble)
     note("%s reaches the store again", Of.Entries.List[0].Name.c_str());
@@ -183,7 +203,8 @@
   const std::int64_t CancelMs = Of.Entries.Bounds["cancel_ms"];
   for (const auto &[Name, Seen] : Of.Workers.Tasks)
     for (const History::Start &Start : Seen.Starts)
-      if (Name.starts_with(Id) && Start.At > CancelledAt + CancelMs)
+      if (Name.starts_with(Id) && Start.At > CancelledAt + CancelMs &&
+          Leader != 0 && Start.Token == Token)
         Breaches.push_back(
             Name + " starts " + std::to_string(Start.At - CancelledAt) +
             " ms after the cancelling of its job was acknowledged with " +
@@ -269,13 +290,32 @@
       Of.Entries.Bounds["finish_s"].get<std::int64_t>() * 1'000;
   std::string State;
   std::int64_t RunningAt = nowMs(), Longest = 0;
-  std::int64_t NextLook = 0;
+  std::int64_t NextLook = 0, MostUsed = 0;
   while (nowMs() - SubmittedAt < 60'000 && State != "completed" &&
          State != "failed") {
     co_await sleepMs(50);
-    // From finish_s after the last submission. Each task takes an accelerator
-    // of 64, so that the room is free all the while.
-    if (Of.Workers.runnerOf(Task) || nowMs() - SubmittedAt < FinishMs)
+    // From finish_s after the last submission; with room for it twice over, and
+    // under half of the service's capacity in use.
+    Resources All, Used;
+    std::int64_t Fits = 0;
+    for (const auto &Entry : Of.Workers.List) {
+      Resources Here;
+      for (const auto &[Name, Run] : Entry->Running) {
+        Here.Cpu += Run.What.Needs.Cpu;
+        Here.Mem += Run.What.Needs.Mem;
+        Here.Gpus += Run.What.Needs.Gpus;
+      }
+      All = {All.Cpu + Entry->Capacity.Cpu, All.Mem + Entry->Capacity.Mem,
+             All.Gpus + Entry->Capacity.Gpus};
+      Used = {Used.Cpu + Here.Cpu, Used.Mem + Here.Mem, Used.Gpus + Here.Gpus};
+      Fits += std::min({(Entry->Capacity.Cpu - Here.Cpu) / Needs.Cpu,
+                        (Entry->Capacity.Mem - Here.Mem) / Needs.Mem,
+                        (Entry->Capacity.Gpus - Here.Gpus) / Needs.Gpus});
+    }
+    MostUsed = std::max(MostUsed, Used.Gpus);
+    const bool Room = Fits >= 2 && Used.Cpu * 2 < All.Cpu &&
+                      Used.Mem * 2 < All.Mem && Used.Gpus * 2 < All.Gpus;
+    if (Of.Workers.runnerOf(Task) || nowMs() - SubmittedAt < FinishMs || !Room)
       RunningAt = nowMs();
     Longest = std::max(Longest, nowMs() - RunningAt);
     if (nowMs() < NextLook)
@@ -283,8 +323,10 @@
     State = co_await Of.state(1, Id);
     NextLook = nowMs() + 1'000;
   }
-  note("the job is %s; without a run for %lld ms", State.c_str(),
-       static_cast<long long>(Longest));
+  note("the job is %s; without a run for %lld ms; at most %lld of 64 "
+       "accelerators in use",
+       State.c_str(), static_cast<long long>(Longest),
+       static_cast<long long>(MostUsed));
   std::vector<std::string> Breaches;
   if (Longest >= 3'000)
     Breaches.push_back("nothing of the job has run for " +
--- a/review/stand-ins-2/world.cc
+++ b/review/stand-ins-2/world.cc
@@ -680,7 +680,7 @@
                                      " on " + Other->Id + " and run " +
                                      std::to_string(Run) + " on " + this->Id);
     this->Running[Name] = {Run, What, nowMs(), 0};
-    this->All.Tasks[Name].Starts.push_back({nowMs(), this->Id, Run});
+    this->All.Tasks[Name].Starts.push_back({nowMs(), this->Id, Run, Token});
     note("runner %s starts run %lld of %s, token %lld", this->Id.c_str(),
          static_cast<long long>(Run), Name.c_str(),
          static_cast<long long>(Token));
--- a/review/stand-ins-2/world.h
+++ b/review/stand-ins-2/world.h
@@ -156,6 +156,7 @@
     std::int64_t At;
     std::string Runner;
     std::int64_t Run;
+    std::int64_t Token;
   };
   struct Done {
     std::int64_t At;
