Judge no run by a report that lists only the first ends of a worker

After a change of owner, or an outage of the store, a worker has more ended runs than the 500 that it reports at a time. The owner took every other run of that worker, neither running nor among these, for lost and started it again; its end followed with the next report.

Why this works: the decoder marks a report with 500 ends as one that more may follow, and nothing is concluded from what it leaves out.

--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -253,8 +253,8 @@
   void stopAccepted(std::string_view Task, std::int64_t Run, Instant Now);
 
   /// Applies a worker's report. \p AskedAt is when the request was sent: only
-  /// runs confirmed before it must be in the report. Returns reported runs that
-  /// should not exist.
+  /// runs confirmed before it must be in the report, unless more ends follow.
+  /// Returns reported runs that should not exist.
   std::vector<RunningTask> applyReport(std::string_view Worker,
                                        const WorkerReport &Report,
                                        Instant AskedAt, Instant Now,
--- a/include/pistachioflow/sched/worker.hpp
+++ b/include/pistachioflow/sched/worker.hpp
@@ -58,6 +58,9 @@
   std::int64_t IncarnationStartMs = 0; ///< 0: not reported.
   std::vector<RunningTask> Running;
   std::vector<EndedRun> Ended;
+  /// More ended runs may follow once these are acknowledged, so that a run that
+  /// is in neither list may have ended.
+  bool MoreEnds = false;
 };
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -278,6 +278,11 @@
   Worker->ClockOffsetMs = Report.ClockMs - Now.Ms;
   Worker->Synced = true;
   Worker->UnresponsiveSince = {};
+  if (Report.MoreEnds)
+    logEvent(LogLevel::Info, "more_ends_follow",
+             {{"worker", Worker->Id},
+              {"ends", static_cast<std::int64_t>(Report.Ended.size())},
+              {"applied", Worker->Ends.Applied}});
   // An end is reported until it is acknowledged.
   WorkerReport News = Report;
   std::erase_if(News.Ended, [&](const EndedRun &End) {
--- a/src/pistachioflow/platform/codecs_test.cpp
+++ b/src/pistachioflow/platform/codecs_test.cpp
@@ -94,6 +94,21 @@
   REQUIRE(Report->Ended.front().Checkpoint == Expected);
 }
 
+// Guards against a report that is taken for complete: a worker reports its ends
+// 500 at a time.
+TEST_CASE("a report shows whether more ends may follow") {
+  const auto [Ends, MoreEnds] = GENERATE(
+      table<int, bool>({{0, false}, {499, false}, {500, true}, {501, true}}));
+  std::string Rows;
+  for (int Number = 1; Number <= Ends; ++Number)
+    Rows += (Rows.empty() ? "" : ",") +
+            ("[" + std::to_string(Number) + R"(,"t",1,"done",""])");
+  const auto Report = decodeWorkerReport(
+      R"({"clock_ms":1,"running":[],"ended_runs":[)" + Rows + "]}");
+  REQUIRE(Report);
+  REQUIRE(Report->MoreEnds == MoreEnds);
+}
+
 TEST_CASE("a submitted job is validated") {
   const auto [Text, Valid] = GENERATE(table<std::string, bool>(
       {{R"({"specification":"x","steps":[{"count":4,"cpu":500}]})", true},
--- a/src/pistachioflow/platform/worker_client.cpp
+++ b/src/pistachioflow/platform/worker_client.cpp
@@ -26,6 +26,8 @@
 /// use, is optional.
 constexpr std::size_t RunningColumns = 4;
 constexpr std::size_t EndedColumns = 5;
+/// A worker reports this many ends at a time.
+constexpr std::size_t MaxReportedEnds = 500;
 
 RunOutcome decodeRunEnd(std::string_view Word) {
   if (Word == "done")
@@ -348,6 +350,7 @@
       return std::nullopt;
     Report.Ended.push_back(std::move(*End));
   }
+  Report.MoreEnds = Report.Ended.size() >= MaxReportedEnds;
   return Report;
 }
 
--- a/src/pistachioflow/platform_standin/task_simulator.cpp
+++ b/src/pistachioflow/platform_standin/task_simulator.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// How many ends a worker reports at a time.
+constexpr std::size_t MaxReportedEnds = 500;
+
 /// Returns the gang of a member: the task name without the member's index.
 std::string gangOf(std::string_view Task) {
   return std::string(Task.substr(0, Task.rfind('.')));
@@ -193,7 +196,10 @@
   for (const auto &[Task, Entry] : Target.ActiveRuns)
     Answer.Report.Running.push_back(
         {Task, Entry.Run, {}, progressOf(Entry, Now), 1'000});
-  Answer.Report.Ended = Target.UnacknowledgedEnds;
+  const std::vector<EndedRun> &Ends = Target.UnacknowledgedEnds;
+  const auto Page = static_cast<std::ptrdiff_t>(
+      std::min(Ends.size(), MaxReportedEnds));
+  Answer.Report.Ended.assign(Ends.begin(), Ends.begin() + Page);
   return Answer;
 }
 
--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -83,6 +83,9 @@
     else if (Place.ParentUnit)
       this->applyLateEnd(*Place.ParentUnit, Worker, End, Now, WallMs);
   }
+  // What this report leaves out may be in the next one.
+  if (Report.MoreEnds)
+    return Unwanted;
   this->resolvePresumedEnds(Worker, Report);
   const auto Match = this->MembersByWorker.find(std::string(Worker));
   if (Match == this->MembersByWorker.end())
@@ -248,7 +251,7 @@
     // reach it.
     const bool InFlight =
         Entry.Phase == MemberPhase::Sent || Entry.Phase == MemberPhase::Planned;
-    if (InFlight || Shown) {
+    if (InFlight || Shown || Report.MoreEnds) {
       Entry.IncarnationStartMs = BornWallMs;
       continue;
     }
