Store the cancellation of a job that is not known yet

The submission was still on its way, at a daemon that was cut off from the store, when its caller cancelled it elsewhere and got 410; it was stored 4 s later and started.

Cause: a cancellation of an unknown job was answered without storing anything, as if the job could not come any more.

It counts only for jobs that its caller may cancel, is dropped after a minute, and a workspace may have 1,000 of them.

--- a/include/pistachioflow/entry/caller_api.hpp
+++ b/include/pistachioflow/entry/caller_api.hpp
@@ -49,6 +49,8 @@
   asio::awaitable<HttpResponse> submit(CallTarget Target, std::string Body);
   asio::awaitable<HttpResponse> state(CallTarget Target);
   asio::awaitable<HttpResponse> cancel(CallTarget Target);
+  asio::awaitable<HttpResponse>
+  cancelUnknown(std::string JobId, EarlyCancellationRecord Cancellation);
   HttpResponse queueLength(const CallTarget &Target) const;
   bool storeFailing() const;
 
--- a/include/pistachioflow/entry/job_status_table.hpp
+++ b/include/pistachioflow/entry/job_status_table.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "pistachioflow/sched/early_cancellations.hpp"
 #include "pistachioflow/sched/records.hpp"
 
 namespace pistachioflow {
@@ -24,7 +25,10 @@
     bool Submitted = false;
   };
 
-  void clear() { this->Jobs.clear(); }
+  void clear() {
+    this->Jobs.clear();
+    this->Cancellations.ByName.clear();
+  }
 
   /// Applies one record of the journal. Unit and ownership records are ignored.
   /// Returns false when the record is malformed.
@@ -36,12 +40,20 @@
   /// Returns the number of jobs of \p Queue of which no task has started.
   std::int64_t countQueued(std::string_view Queue) const;
 
+  /// Cancellations of jobs that are or were unknown.
+  const EarlyCancellations &earlyCancellations() const {
+    return this->Cancellations;
+  }
+
   std::size_t size() const { return this->Jobs.size(); }
 
 private:
+  bool applyEarlyCancellation(const std::string &Name,
+                              const std::string &Value);
   void dropIfEmpty(const std::string &Id);
 
   std::unordered_map<std::string, Entry> Jobs;
+  EarlyCancellations Cancellations;
 };
 
 /// Returns the phase that callers are told. A job counts as cancelled as soon
--- a/include/pistachioflow/entry/metrics.hpp
+++ b/include/pistachioflow/entry/metrics.hpp
@@ -18,6 +18,7 @@
   Counter &StatesAnswered = Registry.counter("states_answered_total");
   Counter &StatesUnknown = Registry.counter("states_unknown_total");
   Counter &CancelsAccepted = Registry.counter("cancels_accepted_total");
+  Counter &CancelsEarly = Registry.counter("cancels_early_total");
   Counter &AppendsFailed = Registry.counter("store_appends_failed_total");
   Counter &Appends = Registry.counter("store_appends_total");
   Counter &StoreProbes = Registry.counter("store_probes_total");
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -14,6 +14,7 @@
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/sched/attempt_history.hpp"
 #include "pistachioflow/sched/crash_history.hpp"
+#include "pistachioflow/sched/early_cancellations.hpp"
 #include "pistachioflow/sched/held_back.hpp"
 #include "pistachioflow/sched/records.hpp"
 #include "pistachioflow/sched/worker.hpp"
@@ -191,6 +192,11 @@
                      Instant Now, std::int64_t WallMs);
   void addCancellation(std::string_view JobId, std::int64_t WallMs,
                        Instant Now);
+  /// \p Name is the record's key without its kind. The cancellation applies to
+  /// the job at once or when its submission is added.
+  void addEarlyCancellation(std::string_view Name,
+                            EarlyCancellationRecord Record, std::int64_t WallMs,
+                            Instant Now);
   void restorePhase(std::string_view JobId, const JobPhaseRecord &Record);
   /// \p LeaseEnds is when every lease of earlier owners has expired.
   /// Precondition: the job's submission has been added.
@@ -301,6 +307,10 @@
   /// Removes jobs that ended before \p BeforeWallMs, with their records.
   void expire(std::int64_t BeforeWallMs);
 
+  /// Removes early cancellations made before \p BeforeWallMs, with their
+  /// records.
+  void expireEarlyCancellations(std::int64_t BeforeWallMs);
+
   Job *find(std::string_view JobId);
   const std::unordered_map<std::string, Job> &jobs() const {
     return this->Jobs;
@@ -347,6 +357,7 @@
               std::string_view Reason);
   void stopMembers(Unit &Unit, Instant Now, std::string_view Reason);
   void requeueIfEnded(Unit &Unit, Instant Now);
+  void cancelIfRequested(Job &Job, std::int64_t WallMs, Instant Now);
   void endClaim(Unit &Unit, std::span<const PlaceRecord> Used, Instant Now,
                 std::string_view Reason);
   void registerMembers(Unit &Unit);
@@ -356,6 +367,7 @@
                    std::string Detail = {}, std::int64_t Ms = 0);
 
   std::unordered_map<std::string, Job> Jobs;
+  EarlyCancellations Cancellations;
   /// Units with a presumed end on the worker.
   std::unordered_map<std::string, std::set<Unit *>> PresumedEndsByWorker;
   /// Units under which the worker was lost and may have crashed.
--- a/include/pistachioflow/sched/records.hpp
+++ b/include/pistachioflow/sched/records.hpp
@@ -16,6 +16,8 @@
 enum class RecordKind : char {
   Submission = 'j',   ///< An accepted job.
   Cancellation = 'c', ///< A caller's request to cancel a job.
+  /// A caller's request to cancel a job that was unknown then.
+  EarlyCancellation = 'e',
   JobPhase = 's',     ///< Phase of a job.
   Unit = 'u',         ///< Newest run of a task or gang.
   Ownership = 'o',    ///< The owner of the queues and its heartbeat.
@@ -44,6 +46,17 @@
   MSGPACK_DEFINE(WallMs)
 };
 
+/// A request to cancel a job whose submission may still be on its way. Whether
+/// its caller may cancel the job shows when that is stored.
+struct EarlyCancellationRecord {
+  std::int64_t WallMs = 0;
+  std::string Queue; ///< Name of the route that the caller used.
+  std::string Workspace;
+  bool PublicQueue = false; ///< Anybody may cancel jobs of the queue.
+
+  MSGPACK_DEFINE(WallMs, Queue, Workspace, PublicQueue)
+};
+
 /// Lifecycle phase of a job.
 enum class JobPhase { Queued, Running, Completed, Failed, Cancelled };
 
@@ -134,6 +147,12 @@
 
 std::string submissionKey(std::string_view JobId);
 std::string cancellationKey(std::string_view JobId);
+/// One for each job and workspace, so that workspaces don't replace each other's
+/// cancellations.
+std::string earlyCancellationKey(std::string_view JobId,
+                                 std::string_view Workspace);
+/// Returns the key of a cancellation by its name in EarlyCancellations.
+std::string earlyCancellationKey(std::string_view Name);
 std::string phaseKey(std::string_view JobId);
 std::string unitKey(std::string_view UnitName);
 std::string ownershipKey();
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -26,6 +26,11 @@
 /// Retry-After while the store is unreachable. Short, since other instances may
 /// reach it.
 constexpr std::int64_t StoreRetryAfterS = 1;
+/// How many cancellations of unknown jobs the callers of one workspace may have
+/// made within the time that they are retained.
+constexpr std::size_t MaxEarlyCancellations = 1'000;
+/// Retry-After beyond that.
+constexpr std::int64_t EarlyCancellationRetryAfterS = 5;
 /// Retry-After until the configuration has been read.
 constexpr std::int64_t StartupRetryAfterS = 1;
 
@@ -210,16 +215,20 @@
 asio::awaitable<HttpResponse> CallerApi::cancel(CallTarget Target) {
   const Instant StartedAt = this->Time.monotonic();
   const auto Elapsed = [&] { return this->Time.monotonic() - StartedAt; };
+  // A new desired state may free the queue during a wait.
+  const EarlyCancellationRecord Early{this->Time.wall().Ms, Target.Queue->Name,
+                                      Target.Workspace, Target.Queue->Public};
   const JobStatusTable::Entry *Status = this->JobStatuses.find(Target.JobId);
   if (!Status) {
     const bool Refreshed = co_await this->Journal.refresh(RefreshTimeout);
     Status = this->JobStatuses.find(Target.JobId);
-    if (!Status) {
-      logCall("cancel_unknown", Target.JobId, Refreshed ? 410 : 503,
-              "no_such_job", Elapsed());
-      co_return Refreshed ? emptyResponse(410) : refusal(503, StoreRetryAfterS);
+    if (!Status && !Refreshed) {
+      logCall("cancel_refused", Target.JobId, 503, "journal_stale", Elapsed());
+      co_return refusal(503, StoreRetryAfterS);
     }
   }
+  if (!Status)
+    co_return co_await this->cancelUnknown(std::move(Target.JobId), Early);
   if (!this->mayAccess(Target, *Status))
     co_return accessDenied("cancel", Target);
   if (hasEnded(reportedPhase(*Status))) {
@@ -244,6 +253,39 @@
                                                : emptyResponse(504);
 }
 
+/// Stores the cancellation of a job that is not in the journal: a submission
+/// that another instance could not store yet may still be on its way.
+asio::awaitable<HttpResponse>
+CallerApi::cancelUnknown(std::string JobId,
+                         EarlyCancellationRecord Cancellation) {
+  const Instant StartedAt = this->Time.monotonic();
+  const auto Elapsed = [&] { return this->Time.monotonic() - StartedAt; };
+  if (countOf(this->JobStatuses.earlyCancellations(), Cancellation.Workspace) >=
+      MaxEarlyCancellations) {
+    logCall("cancel_refused", JobId, 503, "too_many_unknown", Elapsed());
+    co_return refusal(503, EarlyCancellationRetryAfterS);
+  }
+  std::vector<JournalRecord> Records;
+  Records.push_back({earlyCancellationKey(JobId, Cancellation.Workspace),
+                     encodeRecord(Cancellation)});
+  const JournalRecord Stored = Records.front();
+  const WriteOutcome Outcome =
+      co_await this->Writer.write(std::move(Records), CallerWriteTimeouts);
+  if (Outcome != WriteOutcome::Stored) {
+    logCall("cancel_refused", JobId, 503, "not_stored", Elapsed());
+    co_return Outcome == WriteOutcome::NotStored
+        ? refusal(503, StoreRetryAfterS)
+        : emptyResponse(504);
+  }
+  this->JobStatuses.apply(Stored);
+  // The submission may have been stored meanwhile.
+  const JobStatusTable::Entry *Status = this->JobStatuses.find(JobId);
+  const int Code = Status && Status->CancelRequested ? 200 : 410;
+  entryMetrics().CancelsEarly.add();
+  logCall("cancel_unknown", JobId, Code, "no_such_job", Elapsed());
+  co_return emptyResponse(Code);
+}
+
 HttpResponse CallerApi::queueLength(const CallTarget &Target) const {
   if (!this->Journal.caughtUp())
     return refusal(503, StoreRetryAfterS);
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -30,6 +30,8 @@
 constexpr Duration ReclaimStartMargin{1'000};
 /// Ended jobs are retained this much longer than callers may ask for them.
 constexpr Duration RetentionMargin{60'000};
+/// Much longer than a submission may be on its way to the journal.
+constexpr Duration EarlyCancellationRetention{60'000};
 
 void countEvent(const TableEvent &Event) {
   EntryMetrics &Metrics = entryMetrics();
@@ -244,8 +246,11 @@
       ++Entry;
     }
     this->verifyWorkers(*Term);
-    Term->Table.expire(this->Time.wall().Ms -
-                       this->Settings.StatusRetention.Ms - RetentionMargin.Ms);
+    const std::int64_t WallMs = this->Time.wall().Ms;
+    Term->Table.expire(WallMs - this->Settings.StatusRetention.Ms -
+                       RetentionMargin.Ms);
+    Term->Table.expireEarlyCancellations(WallMs -
+                                         EarlyCancellationRetention.Ms);
     this->requestRound();
   }
 }
--- a/src/pistachioflow/entry/job_status_table.cpp
+++ b/src/pistachioflow/entry/job_status_table.cpp
@@ -22,12 +22,17 @@
     Job.Queue = Decoded->Queue;
     Job.Workspace = Decoded->Workspace;
     Job.Submitted = true;
+    Job.CancelRequested =
+        Job.CancelRequested ||
+        cancelsJob(this->Cancellations, Id, Job.Queue, Job.Workspace);
     return true;
   }
   case RecordKind::Cancellation:
     this->Jobs[Id].CancelRequested = !Record.Value.empty();
     this->dropIfEmpty(Id);
     return true;
+  case RecordKind::EarlyCancellation:
+    return this->applyEarlyCancellation(Id, Record.Value);
   case RecordKind::JobPhase: {
     if (Record.Value.empty()) {
       this->Jobs[Id].Phase = JobPhase::Queued;
@@ -47,6 +52,26 @@
   return false;
 }
 
+/// \p Name is that of the cancellation in EarlyCancellations.
+bool JobStatusTable::applyEarlyCancellation(const std::string &Name,
+                                            const std::string &Value) {
+  if (Value.empty()) {
+    this->Cancellations.ByName.erase(Name);
+    return true;
+  }
+  const auto Decoded = decodeRecord<EarlyCancellationRecord>(Value);
+  if (!Decoded)
+    return false;
+  this->Cancellations.ByName.insert_or_assign(Name, *Decoded);
+  const auto Job = this->Jobs.find(Name.substr(0, Name.find('/')));
+  const bool Cancels =
+      Job != this->Jobs.end() && Job->second.Submitted &&
+      mayCancel(*Decoded, Job->second.Queue, Job->second.Workspace);
+  if (Cancels)
+    Job->second.CancelRequested = true;
+  return true;
+}
+
 void JobStatusTable::dropIfEmpty(const std::string &Id) {
   const auto Position = this->Jobs.find(Id);
   const Entry &Job = Position->second;
--- a/src/pistachioflow/entry/journal_state.cpp
+++ b/src/pistachioflow/entry/journal_state.cpp
@@ -42,6 +42,11 @@
   case RecordKind::Cancellation:
     Table.addCancellation(Name, Times.WallMs, Times.Now);
     break;
+  case RecordKind::EarlyCancellation:
+    if (auto Decoded = decodeRecord<EarlyCancellationRecord>(Record.Value))
+      Table.addEarlyCancellation(Name, std::move(*Decoded), Times.WallMs,
+                                 Times.Now);
+    break;
   case RecordKind::Ownership:
     break;
   }
@@ -53,7 +58,8 @@
                   const JournalTimes &Times) {
   // Records of later kinds refer to those of earlier ones.
   constexpr std::array Order{RecordKind::Submission, RecordKind::JobPhase,
-                             RecordKind::Unit, RecordKind::Cancellation};
+                             RecordKind::Unit, RecordKind::Cancellation,
+                             RecordKind::EarlyCancellation};
   for (const RecordKind Kind : Order)
     forEachOf(Journal, Kind, [&](const JournalRecord &Record) {
       restoreRecord(Table, Kind, Record, Times);
@@ -68,10 +74,11 @@
     if (!Expired)
       restoreRecord(Table, RecordKind::Submission, Record, Times);
   });
-  forEachOf(Journal, RecordKind::Cancellation,
-            [&](const JournalRecord &Record) {
-              restoreRecord(Table, RecordKind::Cancellation, Record, Times);
-            });
+  for (const RecordKind Kind :
+       {RecordKind::Cancellation, RecordKind::EarlyCancellation})
+    forEachOf(Journal, Kind, [&](const JournalRecord &Record) {
+      restoreRecord(Table, Kind, Record, Times);
+    });
 }
 
 bool applyToTable(JobTable &Table, const JournalRecord &Record,
@@ -79,8 +86,9 @@
   if (Record.Key.size() <= PrefixSize || Record.Value.empty())
     return false;
   const auto Kind = static_cast<RecordKind>(Record.Key.front());
-  const bool OfCaller =
-      Kind == RecordKind::Submission || Kind == RecordKind::Cancellation;
+  const bool OfCaller = Kind == RecordKind::Submission ||
+                        Kind == RecordKind::Cancellation ||
+                        Kind == RecordKind::EarlyCancellation;
   if (OfCaller)
     restoreRecord(Table, Kind, Record, Times);
   return OfCaller;
--- a/src/pistachioflow/entry/journal_state_test.cpp
+++ b/src/pistachioflow/entry/journal_state_test.cpp
@@ -22,6 +22,11 @@
   return {cancellationKey(Id), encodeRecord(CancellationRecord{1})};
 }
 
+JournalRecord earlyCancellation() {
+  const EarlyCancellationRecord Record{1, "", "", true};
+  return {earlyCancellationKey(Id, ""), encodeRecord(Record)};
+}
+
 JournalRecord phase(JobPhase Phase) {
   return {phaseKey(Id), encodeRecord(JobPhaseRecord{Phase, 1'000})};
 }
@@ -51,6 +56,22 @@
                    {submission()},
                    {submission(), cancellation()},
                    "cancelled"},
+               Row{"new job, cancelled before",
+                   {},
+                   {submission(), earlyCancellation()},
+                   "cancelled"},
+               Row{"new job, its cancellation known",
+                   {earlyCancellation()},
+                   {submission(), earlyCancellation()},
+                   "cancelled"},
+               Row{"known job, its cancellation new",
+                   {submission()},
+                   {submission(), earlyCancellation()},
+                   "cancelled"},
+               Row{"completed job, cancelled before it was known",
+                   {submission(), phase(JobPhase::Completed)},
+                   {submission(), earlyCancellation()},
+                   "completed"},
                Row{"ended job, cancelled later",
                    {submission(), phase(JobPhase::Completed)},
                    {submission(), cancellation(), phase(JobPhase::Completed)},
@@ -75,4 +96,16 @@
   REQUIRE(phaseIn(Table) == Case.Phase);
 }
 
+// Guards against a job that starts after its cancelling was acknowledged, under
+// an owner that follows the journal or that reads it anew.
+TEST_CASE("an owner applies a cancellation that came before its job") {
+  JobTable Following;
+  REQUIRE(applyToTable(Following, earlyCancellation(), Times));
+  REQUIRE(applyToTable(Following, submission(), Times));
+  REQUIRE(phaseIn(Following) == "cancelled");
+  JobTable Loaded;
+  restoreTable(Loaded, {earlyCancellation(), submission()}, Times);
+  REQUIRE(phaseIn(Loaded) == "cancelled");
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -77,6 +77,7 @@
       std::max<std::int64_t>(WallMs - Job.Submission.AcceptedWallMs, 0);
   Job.AcceptedAt = Now - Duration{AgeMs};
   this->JobsToUnlock.insert(Job.Id);
+  this->cancelIfRequested(Job, WallMs, Now);
 }
 
 void JobTable::addCancellation(std::string_view JobId, std::int64_t WallMs,
@@ -86,6 +87,24 @@
     this->endJob(*Job, JobPhase::Cancelled, WallMs, Now, "caller");
 }
 
+void JobTable::addEarlyCancellation(std::string_view Name,
+                                    EarlyCancellationRecord Record,
+                                    std::int64_t WallMs, Instant Now) {
+  this->Cancellations.ByName.insert_or_assign(std::string(Name),
+                                              std::move(Record));
+  if (Job *Job = this->find(Name.substr(0, Name.find('/'))))
+    this->cancelIfRequested(*Job, WallMs, Now);
+}
+
+/// Ends a job that was cancelled before its submission was known.
+void JobTable::cancelIfRequested(Job &Job, std::int64_t WallMs, Instant Now) {
+  const SubmissionRecord &Submission = Job.Submission;
+  if (!hasEnded(Job.Phase) &&
+      cancelsJob(this->Cancellations, Job.Id, Submission.Queue,
+                 Submission.Workspace))
+    this->endJob(Job, JobPhase::Cancelled, WallMs, Now, "caller_early");
+}
+
 void JobTable::restorePhase(std::string_view JobId,
                             const JobPhaseRecord &Record) {
   Job *Job = this->find(JobId);
--- a/src/pistachioflow/sched/job_table_records.cpp
+++ b/src/pistachioflow/sched/job_table_records.cpp
@@ -78,6 +78,11 @@
   }
 }
 
+void JobTable::expireEarlyCancellations(std::int64_t BeforeWallMs) {
+  for (const std::string &Name : takeExpired(this->Cancellations, BeforeWallMs))
+    this->DroppedKeys.push_back(earlyCancellationKey(Name));
+}
+
 void JobTable::recordEvent(TableEvent::Kind EventKind, std::string Subject,
                            std::string Worker, std::int64_t Run,
                            std::string Detail, std::int64_t Ms) {
--- a/src/pistachioflow/sched/records.cpp
+++ b/src/pistachioflow/sched/records.cpp
@@ -60,6 +60,16 @@
   return keyOf(RecordKind::Cancellation, JobId);
 }
 
+std::string earlyCancellationKey(std::string_view JobId,
+                                 std::string_view Workspace) {
+  return earlyCancellationKey(std::string(JobId) + "/" +
+                              std::string(Workspace));
+}
+
+std::string earlyCancellationKey(std::string_view Name) {
+  return keyOf(RecordKind::EarlyCancellation, Name);
+}
+
 std::string phaseKey(std::string_view JobId) {
   return keyOf(RecordKind::JobPhase, JobId);
 }
@@ -98,6 +108,7 @@
 
 PISTACHIOFLOW_RECORD(SubmissionRecord)
 PISTACHIOFLOW_RECORD(CancellationRecord)
+PISTACHIOFLOW_RECORD(EarlyCancellationRecord)
 PISTACHIOFLOW_RECORD(JobPhaseRecord)
 PISTACHIOFLOW_RECORD(UnitRecord)
 PISTACHIOFLOW_RECORD(OwnershipRecord)
