Judge no run by a report that is older than the answer to its start

Callers could see a task run twice at once. The report shows a restart and lacks the run, so workerRestarted() ended the run, which was confirmed, and counted a crash under it; it ran on beside its next run.

Cause: applyReport() judges only runs that were confirmed before the report was asked for; workerRestarted() judged all of them. Why this works: it keeps the same rule, and the next report, which is newer than the answer, decides.

Before, with the two conditions taken out: 'a run confirmed since a restarted worker was asked is not lost' failed. In 'a worker's restart ends its runs but not starts in flight' the report is now asked for after the confirmation, as that test means it.

--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -268,9 +268,10 @@
 
   /// Handles a worker's restart under the same id, which is how a crash shows.
   /// Runs of its earlier incarnation have ended; those in \p Report belong to
-  /// the new one.
+  /// the new one, and so may those confirmed since \p AskedAt, when the report
+  /// was asked for.
   void workerRestarted(std::string_view Worker, const WorkerReport &Report,
-                       Instant Now, std::int64_t WallMs);
+                       Instant AskedAt, Instant Now, std::int64_t WallMs);
 
   /// Handles an unresponsive worker. Its members of gangs that began to end
   /// before \p EndedBefore have ended too, although the worker cannot report
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -280,7 +280,8 @@
       Report.IncarnationStartMs != Worker->IncarnationStartMs;
   if (Restarted) {
     const bool HadRuns = mayHaveRuns(Term->Table, Worker->Id);
-    Term->Table.workerRestarted(Worker->Id, Report, Now, this->Time.wall().Ms);
+    Term->Table.workerRestarted(Worker->Id, Report, SentAt, Now,
+                                this->Time.wall().Ms);
     const bool AnsweredBefore = Worker->LastAcceptedAt.Ms != 0;
     if (HadRuns && (AnsweredBefore || !mayHaveRuns(Term->Table, Worker->Id)))
       this->noteRunsGivenUp(*Term, *Worker);
--- a/src/pistachioflow/sched/job_table_crash_test.cpp
+++ b/src/pistachioflow/sched/job_table_crash_test.cpp
@@ -57,7 +57,8 @@
     WorkerReport Report;
     Report.IncarnationStartMs = Incarnation;
     if (Incarnation != FirstIncarnation)
-      this->Table.workerRestarted(Worker, Report, this->Now, WallMs);
+      this->Table.workerRestarted(Worker, Report, this->Now, this->Now,
+                                  WallMs);
     this->Table.applyReport(Worker, Report, this->Now, this->Now, WallMs);
   }
 
--- a/src/pistachioflow/sched/job_table_pages_test.cpp
+++ b/src/pistachioflow/sched/job_table_pages_test.cpp
@@ -74,7 +74,7 @@
   Fixture.startAll();
   WorkerReport Report = Fixture.reportOfOthers(MoreEnds);
   Report.IncarnationStartMs = FirstIncarnation + 1;
-  Fixture.Table.workerRestarted("w0", Report, Fixture.Now, 2'000);
+  Fixture.Table.workerRestarted("w0", Report, Fixture.Now, Fixture.Now, 2'000);
   REQUIRE(Fixture.occupied() == MoreEnds);
 }
 
--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -229,8 +229,8 @@
 }
 
 void JobTable::workerRestarted(std::string_view Worker,
-                               const WorkerReport &Report, Instant Now,
-                               std::int64_t WallMs) {
+                               const WorkerReport &Report, Instant AskedAt,
+                               Instant Now, std::int64_t WallMs) {
   const std::int64_t BornWallMs = Report.IncarnationStartMs;
   for (const ExposedMember &Exposed : this->exposedMembers(Worker)) {
     const MemberRef &Ref = Exposed.Ref;
@@ -242,16 +242,20 @@
       continue;
     const bool Shown = containsRun(Report, Ref.ParentUnit->taskName(Ref.Index),
                                    Ref.ParentUnit->Run);
+    // Its start may have been answered after the worker made the report.
+    const bool ConfirmedSince =
+        Entry.Phase == MemberPhase::Running && Entry.PhaseSince >= AskedAt;
     // A confirmed run that the new incarnation shows was started by it.
     const bool MayHaveCrashed = Entry.Phase == MemberPhase::Sent ||
-                                (!Shown && Entry.Phase != MemberPhase::Planned);
+                                (!Shown && !ConfirmedSince &&
+                                 Entry.Phase != MemberPhase::Planned);
     if (MayHaveCrashed)
       this->recordCrash(Exposed, BornWallMs, Now, WallMs);
     // An order in flight may have reached the new incarnation, or may still
     // reach it.
     const bool InFlight =
         Entry.Phase == MemberPhase::Sent || Entry.Phase == MemberPhase::Planned;
-    if (InFlight || Shown || Report.MoreEnds) {
+    if (InFlight || Shown || ConfirmedSince || Report.MoreEnds) {
       Entry.IncarnationStartMs = BornWallMs;
       continue;
     }
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -333,7 +333,8 @@
   Report.IncarnationStartMs = 2;
   if (Shown)
     Report.Running.push_back({Fixture.task(0, 0), 1, {}, 100, 500});
-  Fixture.Table.workerRestarted("w0", Report, Fixture.Now, 2'000);
+  const Instant AskedAt = Fixture.Now + Duration{1};
+  Fixture.Table.workerRestarted("w0", Report, AskedAt, AskedAt, 2'000);
   REQUIRE(Only->waiting() == Waiting);
 }
 
