Stop a start without an answer at a worker's next process too

Callers could see a task run twice at once. The next process knows of no stop and may still carry the start out, but the owner took the run for ended with that process's first report and started the task elsewhere.

Cause: StopAcceptedAt was kept over a restart.

--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -38,6 +38,9 @@
   std::int64_t IncarnationStartMs = 0;
   MemberPhase Phase = MemberPhase::Planned;
   bool StopRequested = false;
+  /// Its start got no answer and is not repeated. It may be carried out late,
+  /// until the worker has accepted a stop.
+  bool StartGivenUp = false;
   Instant PhaseSince;     ///< When it entered its phase.
   Instant StopAcceptedAt; ///< When the worker accepted a stop; 0: not yet.
   Instant IdleSince;      ///< Since when it has used no CPU; 0: in use.
@@ -255,6 +258,9 @@
   /// Precondition: the member's phase is Refused.
   void moveMember(const MemberRef &Ref, const PlaceRecord &Place, Instant Now);
 
+  /// Handles a start that was not answered and is not repeated.
+  void giveUpStart(std::string_view Task, std::int64_t Run);
+
   /// Handles a worker's acceptance of a stop.
   void stopAccepted(std::string_view Task, std::int64_t Run, Instant Now);
 
@@ -329,6 +335,8 @@
   };
 
   TaskLocation findTask(std::string_view Task);
+  /// Returns the member of a task's newest run, or null if \p Run is not that.
+  Member *findMember(std::string_view Task, std::int64_t Run);
   const StepSpec *stepOf(std::string_view Task);
   Unit *findUnit(std::string_view UnitName);
   void openOccurrence(Job &Job, std::int64_t Number);
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -73,6 +73,16 @@
   }
 }
 
+/// Whether a member is to be told to stop and has not accepted it yet.
+bool mayBeStopped(const Member &Placed) {
+  const bool MayRun = Placed.Phase == MemberPhase::Running ||
+                      Placed.Phase == MemberPhase::Adopted;
+  const bool StartUnknown =
+      Placed.Phase == MemberPhase::Sent && Placed.StartGivenUp;
+  return Placed.StopAcceptedAt.Ms == 0 &&
+         (StartUnknown || (MayRun && Placed.StopRequested));
+}
+
 void logCrash(const TableEvent &Event, std::int64_t Epoch) {
   logEvent(LogLevel::Warning, "worker_crashed",
            {{"id", Event.Subject},
@@ -215,10 +225,7 @@
   for (Unit *Entry : Term->Table.active())
     for (std::size_t Index = 0; Index < Entry->Members.size(); ++Index) {
       const Member &PlacedMember = Entry->Members[Index];
-      const bool Stoppable = PlacedMember.StopRequested &&
-                             PlacedMember.StopAcceptedAt.Ms == 0 &&
-                             (PlacedMember.Phase == MemberPhase::Running ||
-                              PlacedMember.Phase == MemberPhase::Adopted);
+      const bool Stoppable = mayBeStopped(PlacedMember);
       const auto Worker = Term->Workers.find(PlacedMember.Worker);
       const bool Sending =
           Stoppable &&
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -126,6 +126,7 @@
   Worker->AvoidedUntil = this->Time.monotonic() + AvoidAfterRefusal;
   logEvent(LogLevel::Warning, "start_unanswered",
            {{"task", Task}, {"run", Run}, {"worker", WorkerId}});
+  Term->Table.giveUpStart(Task, Run);
   co_await this->stopTask(Term, Worker, Task, Run);
 }
 
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -149,8 +149,7 @@
     return;
   for (const PlaceRecord &Place : Record.Places)
     Unit->Members.push_back({Place.Worker, Place.IncarnationStartMs,
-                             MemberPhase::Adopted, false, Now, Instant{},
-                             Instant{}});
+                             MemberPhase::Adopted, false, false, Now});
   this->registerMembers(*Unit);
 }
 
@@ -256,7 +255,7 @@
   Unit.Members.clear();
   for (const PlaceRecord &Place : Places)
     Unit.Members.push_back({Place.Worker, Place.IncarnationStartMs,
-                            MemberPhase::Planned, false, Now, Instant{}});
+                            MemberPhase::Planned, false, false, Now});
   this->registerMembers(Unit);
   this->markDirty(Unit);
   std::string Workers;
@@ -425,13 +424,24 @@
                     Ref.ParentUnit->Run, "moved");
 }
 
-void JobTable::stopAccepted(std::string_view Task, std::int64_t Run,
-                            Instant Now) {
+Member *JobTable::findMember(std::string_view Task, std::int64_t Run) {
   const TaskLocation Place = this->findTask(Task);
   if (!Place.ParentUnit || Place.ParentUnit->Run != Run ||
       Place.Index >= Place.ParentUnit->Members.size())
-    return;
-  Place.ParentUnit->Members[Place.Index].StopAcceptedAt = Now;
+    return nullptr;
+  return &Place.ParentUnit->Members[Place.Index];
+}
+
+void JobTable::giveUpStart(std::string_view Task, std::int64_t Run) {
+  Member *Entry = this->findMember(Task, Run);
+  if (Entry && Entry->Phase == MemberPhase::Sent)
+    Entry->StartGivenUp = true;
+}
+
+void JobTable::stopAccepted(std::string_view Task, std::int64_t Run,
+                            Instant Now) {
+  if (Member *Entry = this->findMember(Task, Run))
+    Entry->StopAcceptedAt = Now;
 }
 
 void JobTable::endMember(Unit &Unit, std::size_t Index, Instant Now) {
--- a/src/pistachioflow/sched/job_table_crash_test.cpp
+++ b/src/pistachioflow/sched/job_table_crash_test.cpp
@@ -57,8 +57,7 @@
     WorkerReport Report;
     Report.IncarnationStartMs = Incarnation;
     if (Incarnation != FirstIncarnation)
-      this->Table.workerRestarted(Worker, Report, this->Now, this->Now,
-                                  WallMs);
+      this->Table.workerRestarted(Worker, Report, this->Now, this->Now, WallMs);
     this->Table.applyReport(Worker, Report, this->Now, this->Now, WallMs);
   }
 
@@ -87,8 +86,14 @@
     }
     if (How == Loss::EarlyAfterLease || How == Loss::CutOff)
       this->Table.workerLost(Worker, this->Now, "lease_ended");
-    this->restart(Worker, How == Loss::CutOff ? FirstIncarnation
-                                              : FirstIncarnation + 1);
+    const std::int64_t Incarnation =
+        How == Loss::CutOff ? FirstIncarnation : FirstIncarnation + 1;
+    this->restart(Worker, Incarnation);
+    if (How != Loss::Unconfirmed)
+      return;
+    // The next process may still get the start until it accepts a stop.
+    this->Table.stopAccepted(Task, Started.Run, this->Now);
+    this->restart(Worker, Incarnation);
   }
 };
 
--- a/src/pistachioflow/sched/job_table_restart_test.cpp
+++ b/src/pistachioflow/sched/job_table_restart_test.cpp
@@ -68,4 +68,23 @@
   REQUIRE_FALSE(Fixture.occupied());
 }
 
+// Guards against a task that runs twice at once: a stop that the earlier
+// process accepted does not keep the next one from carrying out the start late.
+TEST_CASE("a start without an answer is stopped at the next process too") {
+  SentTaskFixture Fixture;
+  const std::string Task = Fixture.Task->name();
+  Fixture.Table.giveUpStart(Task, 1);
+  REQUIRE(Fixture.Task->Members[0].StartGivenUp);
+  Fixture.Table.stopAccepted(Task, 1, Fixture.Now);
+  const Instant AskedAt = Fixture.Now + Later;
+  Fixture.Now = AskedAt + Later;
+  Fixture.Table.workerRestarted("w0", Fixture.emptyReport(), AskedAt,
+                                Fixture.Now, WallMs);
+  Fixture.report();
+  REQUIRE(Fixture.occupied());
+  Fixture.Table.stopAccepted(Task, 1, Fixture.Now);
+  Fixture.report();
+  REQUIRE_FALSE(Fixture.occupied());
+}
+
 } // namespace pistachioflow
