Acknowledge an end only until the worker has answered that

Callers could see work done twice. A worker that restarts numbers its ends anew; a hold that was meant for its earlier process and that the next one takes made it forget its own ends up to that number, so that no report listed them and the runs were taken for lost.

Why this works: once the hold with the number was answered, holds carry none. A hold with a number can still be taken by the next process, but only while an end is being acknowledged.

Before: holds carried the number without end, 'an end is acknowledged until that was answered, and no longer' failed for {5, 5, 0}.

--- a/include/pistachioflow/entry/end_numbers.hpp
+++ b/include/pistachioflow/entry/end_numbers.hpp
@@ -21,6 +21,12 @@
   bool awaitAcknowledgement() const {
     return this->Recorded > this->Acknowledged;
   }
+  /// Returns what the next hold acknowledges, or 0. Each end is acknowledged
+  /// only until that was answered: a worker that restarts may take the hold for
+  /// its own ends, and forget them unread.
+  std::int64_t toAcknowledge() const {
+    return this->awaitAcknowledgement() ? this->Recorded : 0;
+  }
 };
 
 /// Records that the ends in \p Stored are stored, as they were applied when
--- a/src/pistachioflow/entry/end_numbers_test.cpp
+++ b/src/pistachioflow/entry/end_numbers_test.cpp
@@ -24,4 +24,15 @@
   REQUIRE(Now.awaitRecords() == Case.Awaited);
 }
 
+// Guards against a task that runs again after it has ended as done: a worker
+// that had restarted took an old acknowledgement for its own ends, and forgot
+// them.
+TEST_CASE("an end is acknowledged until that was answered, and no longer") {
+  const auto [Recorded, Acknowledged, Expected] =
+      GENERATE(table<std::int64_t, std::int64_t, std::int64_t>(
+          {{0, 0, 0}, {5, 0, 5}, {5, 3, 5}, {5, 5, 0}}));
+  const EndNumbers Numbers{1, Recorded, Recorded, Acknowledged};
+  REQUIRE(Numbers.toAcknowledge() == Expected);
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/worker_calls.cpp
+++ b/src/pistachioflow/entry/worker_calls.cpp
@@ -226,7 +226,7 @@
     // acknowledged before its report has named its incarnation.
     const bool SameIncarnation =
         Worker->Synced && Worker->UnresponsiveSince.Ms == 0;
-    Order.AcknowledgedEnd = SameIncarnation ? Worker->Ends.Recorded : 0;
+    Order.AcknowledgedEnd = SameIncarnation ? Worker->Ends.toAcknowledge() : 0;
     // The leases of an unresponsive worker are not renewed, so that they
     // expire.
     const bool Renews = Worker->Synced && Worker->UnresponsiveSince.Ms == 0;
