Forget a job's suspects when the job is dropped

Cause: a unit under which a worker was lost is listed by that worker. A later loss removes the ended suspicion from the unit's history but not from the list; endJob() goes by the history, and expire() freed the unit. Evidence: the new test under the address sanitizer, heap-use-after-free in markDirty() from settleSuspicions(), freed by expire().

Why this works: expire() takes the job's units out of both indexes by worker; the other indexes were read and are emptied when a job ends.

Before: 'a suspect is forgotten with its job, however old the suspicion is' failed under the sanitizer.

--- a/src/pistachioflow/sched/job_table_expiry_test.cpp
+++ b/src/pistachioflow/sched/job_table_expiry_test.cpp
@@ -87,4 +87,29 @@
   REQUIRE_FALSE(Fixture.Table.dirty());
 }
 
+// Guards against a daemon that ends with SIGSEGV: a worker that was away for
+// minutes is reached again, and a unit that was suspected of its crash has been
+// dropped since.
+TEST_CASE("a suspect is forgotten with its job, however old the suspicion is") {
+  constexpr Duration LongerThanSuspicions{60'000};
+  GangFixture Fixture;
+  const Instant Lost = Start + Duration{1'000};
+  Fixture.Table.workerLost("w1", Lost, "lease_ended");
+  // The next loss takes the place of the first suspicion, which has ended.
+  const Instant LostAgain = Lost + LongerThanSuspicions;
+  Fixture.Table.workerLost("w0", LostAgain, "lease_ended");
+  Fixture.Table.addCancellation(JobId, EndedWallMs, LostAgain);
+  Fixture.Table.expire(EndedWallMs + 1);
+  REQUIRE(Fixture.Table.find(JobId) == nullptr);
+  Fixture.Table.takeRecords();
+  constexpr std::int64_t NextIncarnation = 2;
+  for (const char *Worker : {"w0", "w1"}) {
+    WorkerReport Report;
+    Report.IncarnationStartMs = NextIncarnation;
+    Fixture.Table.applyReport(Worker, Report, LostAgain, LostAgain,
+                              EndedWallMs);
+  }
+  REQUIRE_FALSE(Fixture.Table.dirty());
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/job_table_records.cpp
+++ b/src/pistachioflow/sched/job_table_records.cpp
@@ -69,8 +69,11 @@
       ++Entry;
       continue;
     }
-    for (auto &[Worker, Units] : this->PresumedEndsByWorker)
-      std::erase_if(Units, BelongsToJob);
+    // A unit may be listed under a worker that its record no longer names.
+    for (auto *ByWorker :
+         {&this->PresumedEndsByWorker, &this->SuspectsByWorker})
+      for (auto &[Worker, Units] : *ByWorker)
+        std::erase_if(Units, BelongsToJob);
     this->DroppedKeys.push_back(submissionKey(Job.Id));
     this->DroppedKeys.push_back(cancellationKey(Job.Id));
     this->DroppedKeys.push_back(phaseKey(Job.Id));
