Hold a last attempt back from distrusted workers for a bounded time only

Its last attempt accepted no worker that is suspended or on probation, and tasks that last and fail at each start kept all sound workers so.

Cause: the bound of 2 s that every unit has beside spare capacity left out last attempts. Why this works: the same bound holds for them; a worker that is trusted is still preferred until then.

--- a/src/pistachioflow/entry/planning_faults_test.cpp
+++ b/src/pistachioflow/entry/planning_faults_test.cpp
@@ -250,4 +250,28 @@
   REQUIRE(Entry.allRunning());
 }
 
+// Guards against a job that never gets its last attempt: tasks that last failed
+// at each start and kept all sound workers distrusted.
+TEST_CASE("a last attempt does not wait for ever beside tasks that fail") {
+  constexpr int Endless = 1'000'000;
+  const std::int64_t Failing = GENERATE(2, 6);
+  CAPTURE(Failing);
+  SimulatedCluster Simulated;
+  for (int Index = 0; Index < 8; ++Index)
+    Simulated.addWorker("w" + std::to_string(Index), "r0");
+  StepSpec Lasting = makeStep(1, 1, false);
+  Lasting.LongRunning = true;
+  const Instant FailsFrom = Simulated.now() + Duration{4'000};
+  for (std::int64_t Index = 0; Index < Failing; ++Index)
+    Simulated.submit(jobId(static_cast<std::size_t>(100 + Index)), Lasting, 1,
+                     {0, Endless, FailsFrom});
+  Simulated.play(Duration{5'000});
+  constexpr std::int64_t MaxAttempts = 4;
+  Simulated.submit(jobId(1), makeStep(1, 1, false), 1,
+                   {1'000, MaxAttempts - 1, Instant{}, MaxAttempts});
+  Simulated.play(Duration{20'000});
+  REQUIRE(Simulated.Violations == std::vector<std::string>{});
+  REQUIRE(Simulated.Table->find(jobId(1))->Phase == JobPhase::Completed);
+}
+
 } // namespace pistachioflow::testing
--- a/src/pistachioflow/entry/planning_inputs.cpp
+++ b/src/pistachioflow/entry/planning_inputs.cpp
@@ -218,8 +218,7 @@
       AtOnce ? InAll : heldBackNow(Waiting.HeldBackTime, View.Now);
   Entry.AcceptsAnyWorker = Counted >= preferenceLimit(Inputs);
   Entry.IgnoresReservations = Counted >= reservationLimit(Inputs);
-  Entry.AcceptsSuspended =
-      AtOnce && Entry.AcceptsAnyWorker && !Entry.LastAttempt;
+  Entry.AcceptsSuspended = AtOnce && Entry.AcceptsAnyWorker;
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/simulated_cluster.hpp
+++ b/src/pistachioflow/entry/simulated_cluster.hpp
@@ -48,6 +48,8 @@
 struct SimulatedJob {
   std::int64_t WorkMs = 3'000;
   int EarlyFailures = 0; ///< Runs that fail at once by its own fault.
+  Instant FailsFrom;     ///< None of them fails before this.
+  std::int64_t MaxAttempts = ManyAttempts;
 };
 
 /// Trouble of one worker, until the given instants.
@@ -111,7 +113,7 @@
     Submission.AcceptedWallMs = this->Now.Ms;
     Submission.Terms.Service = "svc";
     Submission.Terms.Priority = Priority;
-    Submission.Terms.MaxAttempts = ManyAttempts;
+    Submission.Terms.MaxAttempts = Behaviour.MaxAttempts;
     Submission.Job.Steps = {Step};
     this->Jobs[JobId] = Behaviour;
     this->Submissions[JobId] = Submission;
@@ -246,7 +248,9 @@
       return RunOutcome::Stopped;
     SimulatedJob &Behaviour = this->Jobs.at(Placed.ParentJob->Id);
     const bool Ran = this->Now - Placed.PlacedAt >= RoundInterval;
-    if (Ran && Placed.FullyStarted && Behaviour.EarlyFailures > 0) {
+    const bool Fails = Behaviour.EarlyFailures > 0 &&
+                       this->Now >= Behaviour.FailsFrom;
+    if (Ran && Placed.FullyStarted && Fails) {
       --Behaviour.EarlyFailures;
       return RunOutcome::Failed;
     }
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -187,7 +187,7 @@
                                             &PlacementWorker::FreeNow))
         return Accepted;
     Unit.AcceptsAnyWorker = Unit.IgnoresReservations = true;
-    Unit.AcceptsSuspended = !Unit.LastAttempt;
+    Unit.AcceptsSuspended = true;
     if (this->Finder.find(Unit, {}, &PlacementWorker::FreeNow))
       this->Plan.HeldBack.push_back(Index);
     return std::nullopt;
