Count no failure against a worker that its task repeats on others

Two tasks that last failed at each start and kept all eight sound workers distrusted.

Cause: only a whole job could be at fault rather than its workers, and only if no run of it had ever lasted; a service that has run before, or whose other tasks go well, never was. Why this works: a unit that has failed early on three workers, and on none has run for longer since, is at fault itself. The dispatcher and the simulated cluster of the tests had the rule twice and share it now.

--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -88,6 +88,8 @@
   HeldBack HeldBackTime;       ///< Since its latest run began.
   Instant WaitNotedAt;         ///< Latest line in the log about its wait.
   std::set<std::string, std::less<>> FailedWorkers; ///< Workers of failed runs.
+  /// Workers of its runs that failed early, since one last outlived that.
+  std::set<std::string, std::less<>> EarlyFailedWorkers;
   std::vector<std::string> ReservedWorkers; ///< Workers that drain for it.
   Instant ReservedAt;
   CapacityClaim Claim;
@@ -133,6 +135,14 @@
   std::int64_t NextOccurrence = 0;
 };
 
+/// Handles an early failure of a run of \p Failed on \p Worker, which the unit
+/// lists as one of its failed workers. Returns whether the task or its job is
+/// at fault rather than the worker.
+bool failsByItself(Unit &Failed, std::string_view Worker);
+
+/// Handles a run of \p Sound that outlived EarlyFailureWindow.
+void outliveEarlyFailure(Unit &Sound);
+
 /// Refers to a member of a unit by index. Valid until the unit's members are
 /// cleared.
 struct MemberRef {
@@ -319,6 +329,8 @@
   void expireEarlyCancellations(std::int64_t BeforeWallMs);
 
   Job *find(std::string_view JobId);
+  /// Returns the unit of a task, or null if the task is unknown.
+  Unit *unitOf(std::string_view Task);
   const std::unordered_map<std::string, Job> &jobs() const {
     return this->Jobs;
   }
@@ -338,7 +350,6 @@
   /// Returns the member of a task's newest run, or null if \p Run is not that.
   Member *findMember(std::string_view Task, std::int64_t Run);
   const StepSpec *stepOf(std::string_view Task);
-  Unit *findUnit(std::string_view UnitName);
   void openOccurrence(Job &Job, std::int64_t Number);
   void unlockSteps(Job &Job, Occurrence &Occurrence, Instant Now);
   void endMember(Unit &Unit, std::size_t Index, Instant Now);
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -21,9 +21,6 @@
 constexpr std::size_t JobIdSize = 16;
 /// Other workers are preferred for this long after a run has failed on one.
 constexpr Duration AvoidAfterFailure{1'000};
-/// A job that failed on this many workers, and on none ran past EarlyFailure,
-/// is at fault rather than its workers.
-constexpr std::size_t FaultyJobWorkerCount = 3;
 constexpr WriteTimeouts OwnerWriteTimeouts{{3'600'000}, {3'600'000}};
 /// Part of the time limit for starting guaranteed work that is left for the
 /// start itself.
@@ -319,10 +316,9 @@
   if (Event.Detail != "failed")
     return;
   const auto JobId = std::string_view(Event.Subject).substr(0, JobIdSize);
-  const Job *Owner = Term.Table.find(JobId);
-  const bool JobIsFaulty = Owner && !Owner->OutlivedEarlyFailure &&
-                           Owner->FailedWorkers.size() >= FaultyJobWorkerCount;
-  if (Duration{Event.DurationMs} < EarlyFailureWindow && !JobIsFaulty)
+  Unit *Failed = Term.Table.unitOf(Event.Subject);
+  const bool Early = Duration{Event.DurationMs} < EarlyFailureWindow;
+  if (Early && !(Failed && failsByItself(*Failed, Event.Worker)))
     recordEarlyFailure(Worker.Trust, JobId, Now);
   else
     Worker.AvoidedUntil = Now + AvoidAfterFailure;
@@ -340,7 +336,7 @@
                            Worker->UnresponsiveSince.Ms == 0;
       if (!Running || Now - PlacedAt <= EarlyFailureWindow)
         continue;
-      Ref.ParentUnit->ParentJob->OutlivedEarlyFailure = true;
+      outliveEarlyFailure(*Ref.ParentUnit);
       recordSuccess(Worker->Trust, PlacedAt, Now);
     }
 }
--- a/src/pistachioflow/entry/simulated_cluster.hpp
+++ b/src/pistachioflow/entry/simulated_cluster.hpp
@@ -248,8 +248,8 @@
       return RunOutcome::Stopped;
     SimulatedJob &Behaviour = this->Jobs.at(Placed.ParentJob->Id);
     const bool Ran = this->Now - Placed.PlacedAt >= RoundInterval;
-    const bool Fails = Behaviour.EarlyFailures > 0 &&
-                       this->Now >= Behaviour.FailsFrom;
+    const bool Fails =
+        Behaviour.EarlyFailures > 0 && this->Now >= Behaviour.FailsFrom;
     if (Ran && Placed.FullyStarted && Fails) {
       --Behaviour.EarlyFailures;
       return RunOutcome::Failed;
@@ -299,12 +299,10 @@
 
   /// Attributes a failure to its worker or to its job, as the dispatcher does.
   void applyFailure(const TableEvent &Event, WorkerLink &Link) {
-    constexpr std::size_t FaultyJobWorkerCount = 3;
     const std::string Id = Event.Subject.substr(0, jobId(0).size());
-    const Job &Owner = *this->Table->find(Id);
-    const bool JobIsFaulty = !Owner.OutlivedEarlyFailure &&
-                             Owner.FailedWorkers.size() >= FaultyJobWorkerCount;
-    if (Duration{Event.DurationMs} < EarlyFailureWindow && !JobIsFaulty)
+    const bool Early = Duration{Event.DurationMs} < EarlyFailureWindow;
+    if (Early &&
+        !failsByItself(*this->Table->unitOf(Event.Subject), Event.Worker))
       recordEarlyFailure(Link.Trust, Id, this->Now);
     else
       Link.AvoidedUntil = this->Now + Duration{1'000};
@@ -322,18 +320,18 @@
       if (Event.Detail == "failed")
         this->applyFailure(Event, *Link->second);
     }
-    for (const Unit *Placed : this->Table->active())
+    for (Unit *Placed : this->Table->active())
       if (Placed->FullyStarted &&
           this->Now - Placed->PlacedAt > EarlyFailureWindow)
         for (const Member &Peer : Placed->Members)
           this->noteSuccess(*Placed, Peer);
   }
 
-  void noteSuccess(const Unit &Placed, const Member &Peer) {
+  void noteSuccess(Unit &Placed, const Member &Peer) {
     const auto Link = this->Workers.find(Peer.Worker);
     if (Link == this->Workers.end() || Peer.Phase != MemberPhase::Running)
       return;
-    Placed.ParentJob->OutlivedEarlyFailure = true;
+    outliveEarlyFailure(Placed);
     recordSuccess(Link->second->Trust, Placed.PlacedAt, this->Now);
   }
 
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -41,8 +41,8 @@
   return Match == this->Jobs.end() ? nullptr : &Match->second;
 }
 
-Unit *JobTable::findUnit(std::string_view UnitName) {
-  return this->findTask(UnitName).ParentUnit;
+Unit *JobTable::unitOf(std::string_view Task) {
+  return this->findTask(Task).ParentUnit;
 }
 
 JobTable::TaskLocation JobTable::findTask(std::string_view Task) {
@@ -123,7 +123,7 @@
   if (!Job || hasEnded(Job->Phase) || Name.Occurrence < 0)
     return;
   this->openOccurrence(*Job, Name.Occurrence);
-  Unit *Unit = this->findUnit(UnitName);
+  Unit *Unit = this->unitOf(UnitName);
   if (!Unit)
     return;
   this->RecordedUnits.insert(std::string(UnitName));
--- a/src/pistachioflow/sched/job_table_attempts.cpp
+++ b/src/pistachioflow/sched/job_table_attempts.cpp
@@ -4,6 +4,27 @@
 
 namespace pistachioflow {
 
+namespace {
+
+/// A job or a unit that failed early on this many workers, and on none ran for
+/// longer, is at fault rather than its workers.
+constexpr std::size_t FaultyWorkerCount = 3;
+
+} // namespace
+
+bool failsByItself(Unit &Failed, std::string_view Worker) {
+  Failed.EarlyFailedWorkers.emplace(Worker);
+  const Job &Job = *Failed.ParentJob;
+  const bool JobFails = !Job.OutlivedEarlyFailure &&
+                        Job.FailedWorkers.size() >= FaultyWorkerCount;
+  return JobFails || Failed.EarlyFailedWorkers.size() >= FaultyWorkerCount;
+}
+
+void outliveEarlyFailure(Unit &Sound) {
+  Sound.EarlyFailedWorkers.clear();
+  Sound.ParentJob->OutlivedEarlyFailure = true;
+}
+
 void JobTable::failIfExhausted(Unit &Unit, Instant Now, std::int64_t WallMs) {
   const std::int64_t MaxAttempts = Unit.ParentJob->Submission.Terms.MaxAttempts;
   const bool Exhausted = !Unit.Done && !Unit.spec().LongRunning &&
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -402,4 +402,34 @@
   REQUIRE(Gang.Claim.Workers.empty());
 }
 
+// Guards against tasks that last, fail at each start and keep all sound workers
+// suspended, because an earlier run or another task of their job went well.
+TEST_CASE("a task that fails early on several workers is at fault itself") {
+  struct Row {
+    const char *Name;
+    bool JobRanBefore;
+    std::vector<const char *> Workers;
+    bool ItsFault; ///< After the last failure, and not before.
+  };
+  const auto Case =
+      GENERATE(Row{"two workers", false, {"w0", "w1"}, false},
+               Row{"three workers", false, {"w0", "w1", "w2"}, true},
+               Row{"three, ran before", true, {"w0", "w1", "w2"}, true},
+               Row{"the same worker", true, {"w0", "w0", "w0", "w0"}, false});
+  CAPTURE(Case.Name);
+  TableFixture Fixture({makeStep(2, false)});
+  Unit &Failing = *Fixture.Table.unitOf(Fixture.task(0, 0));
+  if (Case.JobRanBefore)
+    outliveEarlyFailure(Failing);
+  for (std::size_t Index = 0; Index < Case.Workers.size(); ++Index) {
+    const bool Last = Index + 1 == Case.Workers.size();
+    REQUIRE(failsByItself(Failing, Case.Workers[Index]) ==
+            (Last && Case.ItsFault));
+    // Another task of the job goes well all the while.
+    outliveEarlyFailure(*Fixture.Table.unitOf(Fixture.task(0, 1)));
+  }
+  outliveEarlyFailure(Failing);
+  REQUIRE_FALSE(failsByItself(Failing, "w3"));
+}
+
 } // namespace pistachioflow
