Count workers that never return against the task that they were lost under

Each of its workers was replaced by one with another id.

Cause: a worker that does not return under its id leaves a suspicion, which was dropped after 20 s, so that the count began anew. Why this works: an ended suspicion still holds back no start, but stays in the count; five lost workers end the starts, and 20 s later the job, unless one of them returns as the same process.

--- a/include/pistachioflow/sched/crash_history.hpp
+++ b/include/pistachioflow/sched/crash_history.hpp
@@ -45,8 +45,13 @@
 /// start again.
 bool crashLimitReached(const CrashHistory &History);
 
+/// Whether so many workers have been lost under one member, and none of them
+/// has returned in time, that the unit must not start again.
+bool lossLimitReached(const CrashHistory &History, Instant Now);
+
 /// Whether one more start stays within the limit even if every suspected crash
-/// was one. A suspicion stops counting after a while.
+/// was one. After a while without a further loss, suspicions hold back a start
+/// only at the limit of lossLimitReached().
 bool mayStartAfterCrashes(const CrashHistory &History, Instant Now);
 
 /// Returns how long a unit waits after the latest crash.
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -220,6 +220,9 @@
   /// Unlocks due occurrences, and steps whose predecessors are done.
   void unlockDueSteps(Instant Now, std::int64_t WallMs);
 
+  /// Gives up the jobs of waiting units under which too many workers were lost.
+  void giveUpAfterLosses(Instant Now, std::int64_t WallMs);
+
   /// Returns the waiting units that may be placed at \p Now.
   std::vector<Unit *> placeable(Instant Now);
 
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -147,6 +147,7 @@
   const TermPtr Term = this->CurrentTerm;
   const Instant StartedAt = this->Time.monotonic();
   Term->Table.unlockDueSteps(StartedAt, this->Time.wall().Ms);
+  Term->Table.giveUpAfterLosses(StartedAt, this->Time.wall().Ms);
   this->preemptOnDrainingWorkers(*Term);
   this->moveRefusedMembers(*Term);
   reserveForUrgent(this->planningView(*Term, this->Time.monotonic()));
--- a/src/pistachioflow/sched/crash_history.cpp
+++ b/src/pistachioflow/sched/crash_history.cpp
@@ -16,6 +16,9 @@
 /// Shared crashes, which may be another job's fault, reach only this limit: the
 /// platform allows two starts after the third crash.
 constexpr std::int64_t MaxCrashesWithShared = 5;
+/// This many workers that crashed or never returned end a unit as well. A
+/// worker that does return may be listed under another id.
+constexpr std::int64_t MaxLosses = 5;
 constexpr Duration FirstBackoff{200};
 /// Workers return some seconds after a crash. A worker that does not return for
 /// this long has left.
@@ -58,6 +61,11 @@
          anyMemberReaches(History, MaxCrashesWithShared, Counts);
 }
 
+bool tooManyLosses(const CrashHistory &History) {
+  return anyMemberReaches(History, MaxLosses,
+                          [](const CrashRecord &) { return true; });
+}
+
 } // namespace
 
 bool recordCrash(CrashHistory &History, CrashRecord Crash) {
@@ -71,8 +79,9 @@
 }
 
 void suspectCrash(CrashHistory &History, CrashRecord Crash, Instant Now) {
-  // Suspicions that have ended need no more room.
-  if (Now >= History.SuspicionEnds)
+  // A run that lasted does not crash its workers.
+  const bool Lasted = Crash.Evidence == CrashEvidence::Late;
+  if (Lasted && Now >= History.SuspicionEnds)
     std::erase_if(History.Crashes, isSuspected);
   Crash.Suspected = true;
   History.SuspicionEnds = Now + SuspicionTime;
@@ -109,7 +118,13 @@
          anyKindReachesLimit(History, isCounted);
 }
 
+bool lossLimitReached(const CrashHistory &History, Instant Now) {
+  return Now >= History.SuspicionEnds && tooManyLosses(History);
+}
+
 bool mayStartAfterCrashes(const CrashHistory &History, Instant Now) {
+  if (tooManyLosses(History))
+    return false;
   const bool SuspicionsCount = Now < History.SuspicionEnds;
   return !anyKindReachesLimit(History,
                               [SuspicionsCount](const CrashRecord &Entry) {
--- a/src/pistachioflow/sched/job_table_crash_test.cpp
+++ b/src/pistachioflow/sched/job_table_crash_test.cpp
@@ -257,6 +257,36 @@
   }
 }
 
+// Guards against a deadly task that is started for ever: each worker that it
+// crashes is replaced by one with another id.
+TEST_CASE("a task whose workers never return gets a limited number of starts") {
+  struct Row {
+    const char *Name;
+    bool OneReturns; ///< Under its id, as the same process.
+    int Starts;
+  };
+  const auto Case =
+      GENERATE(Row{"none returns", false, 5}, Row{"one was cut off", true, 6});
+  CAPTURE(Case.Name);
+  CrashFixture Fixture({makeStep(1, false)});
+  int Starts = 0;
+  for (int Round = 0; Round < 20; ++Round) {
+    Fixture.Now = Fixture.Now + Duration{10'000};
+    Fixture.Table.giveUpAfterLosses(Fixture.Now, WallMs);
+    Unit *Only = Fixture.startable();
+    if (!Only)
+      continue;
+    ++Starts;
+    Fixture.send(*Only, true);
+    const std::string Worker = Only->Members.front().Worker;
+    Fixture.Table.workerLost(Worker, Fixture.Now, "lease_ended");
+    if (Case.OneReturns && Starts == 1)
+      Fixture.restart(Worker, FirstIncarnation);
+  }
+  REQUIRE(Starts == Case.Starts);
+  REQUIRE(Fixture.phase() == JobPhase::Failed);
+}
+
 TEST_CASE("a new owner knows the crashes that earlier owners have seen") {
   const Loss Last =
       GENERATE(Loss::Early, Loss::EarlyAfterLease, Loss::Unconfirmed);
--- a/src/pistachioflow/sched/job_table_crashes.cpp
+++ b/src/pistachioflow/sched/job_table_crashes.cpp
@@ -112,6 +112,16 @@
   }
 }
 
+void JobTable::giveUpAfterLosses(Instant Now, std::int64_t WallMs) {
+  std::set<Job *> GivenUp;
+  for (const Unit *Entry : this->Waiting)
+    if (Entry->mayCrashWorker() && lossLimitReached(Entry->Crashes, Now))
+      GivenUp.insert(Entry->ParentJob);
+  for (Job *Entry : GivenUp)
+    if (!hasEnded(Entry->Phase))
+      this->endJob(*Entry, JobPhase::Failed, WallMs, Now, "losses");
+}
+
 /// Holds back the unit after a crash under it, and gives its job up at the
 /// limit.
 void JobTable::applyCrash(Unit &Unit, const CrashRecord &Crash,
