Give up a caller's append that is older than 10 s

A daemon cut off from the store for 90 s stored a submission after the job had been accepted elsewhere, completed and forgotten.

Cause: an append without an answer was repeated without end. Why this works: above an age of 10 s the writer sets a newer epoch by an empty append and goes on only once that was answered, so that the store refuses the old append, also one still on its way.

Before, without the limit: 'a record above the age limit is never stored' and 'an append that was given up is not carried out later' failed. After: both pass.

--- a/include/pistachioflow/entry/journal_writer.hpp
+++ b/include/pistachioflow/entry/journal_writer.hpp
@@ -48,10 +48,18 @@
 std::vector<std::vector<JournalRecord>>
 splitRecords(std::vector<JournalRecord> Records, std::size_t MaxBytes);
 
+/// The longest that a caller's record may be on its way to the journal. The
+/// caller has long been told that its outcome is unknown.
+inline constexpr Duration MaxCallerRecordAge{10'000};
+/// For records that are useful until a newer epoch fences their writer.
+inline constexpr Duration UnlimitedRecordAge{0};
+
 /// Appends records to the journal, and batches those of several callers.
 ///
 /// An append without an answer is repeated with the same sequence number until
-/// it is answered, so that its records are appended once and in order.
+/// it is answered, so that its records are appended once and in order. Records
+/// above an age limit are given up: the writer takes a newer epoch, which keeps
+/// the store from carrying out the append later.
 ///
 /// After a failed append, or when asked to check, the writer probes the store
 /// until it answers. So the beginning and the end of an outage show without a
@@ -64,10 +72,11 @@
 public:
   /// \p Id and \p Epoch identify the writer to the store. The first append has
   /// sequence number \p FirstSequence. Batches have up to \p MaxCallBytes
-  /// bytes, or one write.
+  /// bytes, or one write. Precondition: with a limit \p MaxRecordAge, no other
+  /// writer has the same \p Id.
   JournalWriter(asio::io_context &Io, StoreClient &Store, const Clock &Time,
                 std::string Id, std::int64_t Epoch, std::int64_t FirstSequence,
-                std::size_t MaxCallBytes);
+                std::size_t MaxCallBytes, Duration MaxRecordAge);
 
   /// Appends \p Records, all or none. Returns Unknown where no answer arrived
   /// in time; they may be appended after that.
@@ -100,6 +109,8 @@
   asio::awaitable<void> probeLoop(std::weak_ptr<JournalWriter> Self,
                                   Duration FirstPause);
   void startProbeLoop(Duration FirstPause);
+  asio::awaitable<void> preventLateAppend();
+  bool batchIsTooOld() const;
   void noteAnswer(AppendOutcome Outcome);
   std::vector<JournalRecord> nextBatch();
   void resolveBatch(WriteOutcome Outcome);
@@ -111,6 +122,7 @@
   std::int64_t Epoch;
   std::int64_t Sequence;
   std::size_t MaxCallBytes;
+  Duration MaxRecordAge;
   std::deque<std::shared_ptr<PendingWrite>> Queue;
   std::vector<std::shared_ptr<PendingWrite>> Batch;
   Instant FailingSince;
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -95,7 +95,8 @@
           FollowerReadPause),
       Writer(std::make_shared<JournalWriter>(
           Io, Store, Time, this->Name, 1, 0,
-          static_cast<std::size_t>(this->Settings.MaxStoreRequestBytes))),
+          static_cast<std::size_t>(this->Settings.MaxStoreRequestBytes),
+          MaxCallerRecordAge)),
       QueueDispatcher(Io, Store, Time, this->Settings, this->Desired,
                       [this](std::string_view Reason) {
                         this->QueueOwnership.lose(Reason);
--- a/src/pistachioflow/entry/journal_writer.cpp
+++ b/src/pistachioflow/entry/journal_writer.cpp
@@ -77,6 +77,7 @@
 
   std::vector<JournalRecord> Records;
   Instant SubmittedAt;
+  Instant SubmittedWall;
   WriteTimeouts Timeouts;
   Signal Finished;
   bool Resolved = false;
@@ -86,9 +87,10 @@
 JournalWriter::JournalWriter(asio::io_context &Io, StoreClient &Store,
                              const Clock &Time, std::string Id,
                              std::int64_t Epoch, std::int64_t FirstSequence,
-                             std::size_t MaxCallBytes)
+                             std::size_t MaxCallBytes, Duration MaxRecordAge)
     : Io(Io), Store(Store), Time(Time), Id(std::move(Id)), Epoch(Epoch),
-      Sequence(FirstSequence), MaxCallBytes(MaxCallBytes) {}
+      Sequence(FirstSequence), MaxCallBytes(MaxCallBytes),
+      MaxRecordAge(MaxRecordAge) {}
 
 asio::awaitable<WriteOutcome>
 JournalWriter::write(std::vector<JournalRecord> Records,
@@ -96,6 +98,7 @@
   auto Pending = std::make_shared<PendingWrite>(this->Io);
   Pending->Records = std::move(Records);
   Pending->SubmittedAt = this->Time.monotonic();
+  Pending->SubmittedWall = this->Time.wall();
   Pending->Timeouts = Timeouts;
   this->Queue.push_back(Pending);
   this->startAppendLoop();
@@ -181,6 +184,13 @@
       MaybeStored = false;
       FirstSentAt = this->Time.monotonic();
     }
+    if (this->batchIsTooOld()) {
+      if (MaybeStored)
+        co_await this->preventLateAppend();
+      this->resolveBatch(MaybeStored ? WriteOutcome::Unknown
+                                     : WriteOutcome::NotStored);
+      continue;
+    }
     Producer AppendProducer{this->Id, this->Epoch, this->Sequence};
     std::string Topic(JournalTopic);
     const std::optional<std::int64_t> NoExpectedEnd;
@@ -228,6 +238,40 @@
   Self->AppendLoopRunning = false;
 }
 
+/// The monotonic clock does not count time in which the process was suspended.
+bool JournalWriter::batchIsTooOld() const {
+  if (this->MaxRecordAge == UnlimitedRecordAge)
+    return false;
+  const PendingWrite &Oldest = *this->Batch.front();
+  const Duration Age = std::max(this->Time.monotonic() - Oldest.SubmittedAt,
+                                this->Time.wall() - Oldest.SubmittedWall);
+  return Age > this->MaxRecordAge;
+}
+
+/// Sets a newer epoch, which makes the store refuse whatever was sent before.
+asio::awaitable<void> JournalWriter::preventLateAppend() {
+  ++this->Epoch;
+  this->Sequence = 0;
+  logEvent(LogLevel::Warning, "append_given_up",
+           {{"writer", this->Id},
+            {"writes", static_cast<std::int64_t>(this->Batch.size())},
+            {"epoch", this->Epoch}});
+  while (true) {
+    Producer NewerEpoch{this->Id, this->Epoch, this->Sequence};
+    std::string Topic(JournalTopic);
+    const std::optional<std::int64_t> NoExpectedEnd;
+    const AppendAnswer Answer =
+        co_await this->Store.append(std::move(Topic), {}, std::move(NewerEpoch),
+                                    NoExpectedEnd, AppendTimeout);
+    this->noteAnswer(Answer.Outcome);
+    if (isProcessed(Answer.Outcome))
+      break;
+    co_await pauseFor(this->Io, RetryDelay);
+  }
+  // With the same number, the next append would be taken for a repetition.
+  ++this->Sequence;
+}
+
 void JournalWriter::noteAnswer(AppendOutcome Outcome) {
   const bool Processed = isProcessed(Outcome);
   if (Processed && this->FailingSince.Ms != 0)
--- a/src/pistachioflow/entry/ownership.cpp
+++ b/src/pistachioflow/entry/ownership.cpp
@@ -163,7 +163,8 @@
     return;
   this->Writer = std::make_shared<JournalWriter>(
       this->Io, this->Store, this->Time, std::string(OwnerProducer),
-      Record.Epoch, this->ClaimSequence + 1, this->MaxCallBytes);
+      Record.Epoch, this->ClaimSequence + 1, this->MaxCallBytes,
+      UnlimitedRecordAge);
   this->Hooks.OnGained(Record.Epoch);
 }
 
--- a/tests/platform/store_outage_test.cpp
+++ b/tests/platform/store_outage_test.cpp
@@ -22,6 +22,7 @@
 constexpr Duration WaitLimit{20'000};
 constexpr Duration PollInterval{10};
 constexpr WriteTimeouts ShortTimeouts{{50}, {200}};
+constexpr Duration ShortRecordAge{2'500};
 
 JournalRecord makeRecord(const std::string &Key) { return {Key, "value"}; }
 
@@ -34,12 +35,13 @@
   std::shared_ptr<JournalWriter> Writer;
   std::unique_ptr<TopicFollower> Follower;
 
-  JournalFixture() {
+  explicit JournalFixture(Duration MaxRecordAge = UnlimitedRecordAge) {
     REQUIRE(this->Platform.start(0, 1, Resources{}));
     this->Store = std::make_unique<StoreClient>(
         this->Io, "127.0.0.1:" + std::to_string(this->Platform.storePort()));
-    this->Writer = std::make_shared<JournalWriter>(
-        this->Io, *this->Store, this->Time, "writer", 1, 0, 65'536);
+    this->Writer =
+        std::make_shared<JournalWriter>(this->Io, *this->Store, this->Time,
+                                        "writer", 1, 0, 65'536, MaxRecordAge);
     this->Follower = std::make_unique<TopicFollower>(
         this->Io, *this->Store, this->Time, std::string(JournalTopic),
         TopicObserver{[](const TopicRecords &) {}, [](const JournalRecord &) {},
@@ -166,4 +168,58 @@
   REQUIRE(Extended.Unanswered.Ms == 900 + ExtensionMs);
 }
 
+// Guards against a job that runs again after it was completed and forgotten:
+// its submission was repeated without end and stored minutes later.
+TEST_CASE("a record above the age limit is never stored") {
+  struct Row {
+    const char *Name;
+    Duration MaxAge;
+    Duration Outage;
+    bool Stored;
+  };
+  const auto Case =
+      GENERATE(Row{"short outage", ShortRecordAge, {700}, true},
+               Row{"long outage", ShortRecordAge, {4'000}, false},
+               Row{"no limit", UnlimitedRecordAge, {3'000}, true});
+  CAPTURE(Case.Name);
+  JournalFixture Fixture(Case.MaxAge);
+  WriteOutcome First = WriteOutcome::Stored;
+  WriteOutcome Later = WriteOutcome::NotStored;
+  Fixture.run([&]() -> asio::awaitable<void> {
+    Fixture.Platform.StoreBehaviour.Unresponsive = true;
+    First = co_await Fixture.write("a/1");
+    co_await pauseFor(Fixture.Io, Case.Outage);
+    Fixture.Platform.StoreBehaviour.Unresponsive = false;
+    co_await Fixture.waitUntil(
+        [&] { return Fixture.Writer->failingSince().Ms == 0; });
+    Later = co_await Fixture.write("a/2");
+  });
+  REQUIRE(First == WriteOutcome::Unknown);
+  REQUIRE(Later == WriteOutcome::Stored);
+  const auto Records =
+      Fixture.Platform.Store.newest(std::string(JournalTopic), "", 10);
+  REQUIRE(Records.size() == (Case.Stored ? 2 : 1));
+}
+
+// Guards against the same by an append that the store carries out late.
+TEST_CASE("an append that was given up is not carried out later") {
+  JournalFixture Fixture(ShortRecordAge);
+  Fixture.run([&]() -> asio::awaitable<void> {
+    Fixture.Platform.StoreBehaviour.Unresponsive = true;
+    co_await Fixture.write("a/1");
+    co_await pauseFor(Fixture.Io, ShortRecordAge * 2);
+    Fixture.Platform.StoreBehaviour.Unresponsive = false;
+    co_await Fixture.waitUntil(
+        [&] { return Fixture.Writer->failingSince().Ms == 0; });
+    const JournalRecord Late = makeRecord("a/1");
+    std::string Topic(JournalTopic);
+    Producer Original{"writer", 1, 0};
+    const std::optional<std::int64_t> NoExpectedEnd;
+    const AppendAnswer Answer = co_await Fixture.Store->append(
+        std::move(Topic), {&Late, 1}, std::move(Original), NoExpectedEnd,
+        Duration{5'000});
+    REQUIRE(Answer.Outcome == AppendOutcome::Fenced);
+  });
+}
+
 } // namespace pistachioflow
