Keep the queue of a request over its waits

Cause: CallTarget held a pointer into the desired state. Why this works: it holds a copy of the queue as of the request's arrival.

Before: 'a request is judged by the queue that it was sent to' ended under the address sanitizer with heap-use-after-free in mayAccess(), from state(). After: it passes.

--- a/include/pistachioflow/entry/caller_api.hpp
+++ b/include/pistachioflow/entry/caller_api.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -29,9 +30,10 @@
   asio::awaitable<HttpResponse> handle(HttpRequest Request);
 
 private:
-  /// What a request that passed the filter addresses.
+  /// What a request that passed the filter addresses, as of its arrival: a new
+  /// desired state may come while it waits.
   struct CallTarget {
-    const QueueConfig *Queue = nullptr;
+    std::shared_ptr<const QueueConfig> Queue;
     std::string Workspace;
     std::string JobId; ///< Empty for the queue itself.
   };
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -67,10 +67,11 @@
     return refusal(503, StartupRetryAfterS);
   const std::string_view Path =
       std::string_view(Request.Target).substr(0, Request.Target.find('?'));
-  Target.Queue =
+  const QueueConfig *Queue =
       findQueue(this->Desired, findHeader(Request.Headers, "Host"), Path);
-  if (!Target.Queue)
+  if (!Queue)
     return emptyResponse(404);
+  Target.Queue = std::make_shared<const QueueConfig>(*Queue);
   const std::string_view Key =
       callerKey(findHeader(Request.Headers, "Authorization"));
   const auto Owner = this->Desired.WorkspaceByKey.find(Key);
@@ -215,7 +216,6 @@
 asio::awaitable<HttpResponse> CallerApi::cancel(CallTarget Target) {
   const Instant StartedAt = this->Time.monotonic();
   const auto Elapsed = [&] { return this->Time.monotonic() - StartedAt; };
-  // A new desired state may free the queue during a wait.
   const EarlyCancellationRecord Early{this->Time.wall().Ms, Target.Queue->Name,
                                       Target.Workspace, Target.Queue->Public};
   const JobStatusTable::Entry *Status = this->JobStatuses.find(Target.JobId);
