Record no failures of tasks that last

Cause: the numbers of failed runs were kept although such tasks have no limit of attempts. Why this works: neither failures nor presumed ends of them are recorded, and those in records of earlier versions are dropped.

Before: 'the record of a task that lasts does not grow with its failures' failed in both rows.

--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -128,7 +128,9 @@
     return;
   this->RecordedUnits.insert(std::string(UnitName));
   Unit->Run = Record.Run;
-  Unit->Attempts = readAttempts(Record, LeaseEnds);
+  // Records of earlier versions count the failures of tasks that last.
+  if (!Unit->spec().LongRunning)
+    Unit->Attempts = readAttempts(Record, LeaseEnds);
   for (const PresumedEnd &End : Unit->Attempts.PresumedEnds)
     this->PresumedEndsByWorker[End.Worker].insert(Unit);
   Unit->Crashes = readCrashes(Record, Now);
--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -163,7 +163,9 @@
   if (!End.Checkpoint.empty())
     Unit.Checkpoint = End.Checkpoint;
   if (End.Outcome == RunOutcome::Failed && !Unit.Done) {
-    countFailure(Unit.Attempts, End.Run);
+    // Tasks that last may fail any number of times.
+    if (!Unit.spec().LongRunning)
+      countFailure(Unit.Attempts, End.Run);
     Unit.FailedWorkers.insert(Unit.Members[Index].Worker);
     Unit.ParentJob->FailedWorkers.insert(Unit.Members[Index].Worker);
     Unit.NotBefore = std::max(Unit.NotBefore, Now + FailureBackoff);
@@ -282,8 +284,11 @@
                       Ref.ParentUnit->taskName(Ref.Index), std::string(Worker),
                       Ref.ParentUnit->Run, "gang_ended");
     this->suspectCrash(Exposed, Now);
-    // An ended job has no further attempt that the end could count for.
-    if (!hasEnded(Ref.ParentUnit->ParentJob->Phase)) {
+    // An ended job has no further attempt that the end could count for, and
+    // tasks that last have no limit.
+    const bool MayCount = !hasEnded(Ref.ParentUnit->ParentJob->Phase) &&
+                          !Ref.ParentUnit->spec().LongRunning;
+    if (MayCount) {
       presumeEnd(Ref.ParentUnit->Attempts, Worker, Ref.ParentUnit->Run,
                  LeaseEnds);
       this->PresumedEndsByWorker[std::string(Worker)].insert(Ref.ParentUnit);
--- a/src/pistachioflow/sched/job_table_test.cpp
+++ b/src/pistachioflow/sched/job_table_test.cpp
@@ -432,4 +432,33 @@
   REQUIRE_FALSE(failsByItself(Failing, "w3"));
 }
 
+// Guards against an owner that can store nothing more: the record of a task
+// that lasts grew with each of its failures.
+TEST_CASE("the record of a task that lasts does not grow with its failures") {
+  constexpr std::int64_t Failures = 300;
+  const bool Restored = GENERATE(false, true);
+  StepSpec Lasting = makeStep(1, false);
+  Lasting.LongRunning = true;
+  TableFixture Fixture({Lasting});
+  const std::string Task = Fixture.task(0, 0);
+  if (Restored) {
+    UnitRecord Earlier;
+    Earlier.Run = Earlier.Failures = Failures;
+    for (std::int64_t Run = 1; Run <= Failures; ++Run)
+      Earlier.FailedRuns.push_back(Run);
+    Fixture.Table.restoreUnit(Task, Earlier, Fixture.Now, Fixture.Now);
+  }
+  std::size_t FirstBytes = 0;
+  for (std::int64_t Count = 0; Count < Failures; ++Count) {
+    REQUIRE(Fixture.startAll() == 1);
+    const std::int64_t Run = Fixture.Table.unitOf(Task)->Run;
+    Fixture.end("w0", Task, Run, RunOutcome::Failed);
+    for (const JournalRecord &Record : Fixture.Table.takeRecords())
+      if (Record.Key == unitKey(Task) && FirstBytes == 0)
+        FirstBytes = Record.Value.size();
+      else if (Record.Key == unitKey(Task))
+        REQUIRE(Record.Value.size() <= FirstBytes + sizeof(std::int64_t));
+  }
+}
+
 } // namespace pistachioflow
