--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -81,6 +81,8 @@
   asio::awaitable<void> flush(TermPtr Term);
   asio::awaitable<void> startMember(TermPtr Term, Unit *StartedUnit,
                                     std::size_t Index, std::int64_t Run);
+  void startRefused(const TermPtr &Term, const WorkerPtr &Worker,
+                    const StartOrder &Order, OrderOutcome Outcome);
   void noteStartGrant(WorkerLink &Worker, const StartOrder &Order,
                       const OrderAnswer &Answer, bool ClockWentBack,
                       Instant SentAt) const;
