Send a start only while nobody can have claimed the ownership

Callers could see completed work done again (TWICE). An owner that was suspended between an append and its answer sent the stored starts when it woke, 6 s later; a worker that had restarted meanwhile had seen no newer epoch and carried one out, though the successor had long finished the task.

Why this works: the claim of a successor comes at least 1.2 s after the owner's last record, so within that time of the newest acknowledged append the order is the owner's to send; the wall clock is asked too, since the monotonic one may stop during a suspension.

--- a/include/pistachioflow/entry/journal_writer.hpp
+++ b/include/pistachioflow/entry/journal_writer.hpp
@@ -100,6 +100,8 @@
   /// When the newest append that the store has acknowledged was first sent; 0:
   /// none. The store knew no newer epoch of this writer then.
   Instant storedAt() const { return this->StoredAt; }
+  /// The same on the wall clock, which goes on while the process is suspended.
+  Instant storedAtWall() const { return this->StoredAtWall; }
 
 private:
   struct PendingWrite;
@@ -127,6 +129,7 @@
   std::vector<std::shared_ptr<PendingWrite>> Batch;
   Instant FailingSince;
   Instant StoredAt;
+  Instant StoredAtWall;
   Instant CheckedAt;
   Duration LastAppendTime{0}; ///< Of the newest append that was answered.
   bool AppendLoopRunning = false;
--- a/include/pistachioflow/entry/lease_bounds.hpp
+++ b/include/pistachioflow/entry/lease_bounds.hpp
@@ -11,6 +11,8 @@
 // them. docs/design/leases.md derives the constants. Thread safety: all
 // functions are pure. Instants are on the monotonic clock of one process.
 
+/// Nobody claims the ownership sooner after a record of the owner.
+constexpr Duration MinClaimTime{1'200};
 /// Longest wait of a hold, the long poll that renews a worker's leases. The
 /// worker answers early when a run ends; otherwise leases are renewed this
 /// often, several times within their length.
--- a/include/pistachioflow/entry/ownership.hpp
+++ b/include/pistachioflow/entry/ownership.hpp
@@ -25,7 +25,8 @@
   Duration HeartbeatInterval{300};
   /// An owner without records for this long is lost: three missing heartbeats
   /// and a slow read. Leases of running work last several times longer.
-  Duration OwnerTimeout{1'200};
+  /// Precondition: at least MinClaimTime.
+  Duration OwnerTimeout{MinClaimTime};
   /// Range of the random delay that separates the claims of equal instances.
   Duration ClaimJitter{60};
   /// Claim delay of an instance with one core. It is inversely proportional to
--- a/src/pistachioflow/entry/dispatcher_ownership_term.hpp
+++ b/src/pistachioflow/entry/dispatcher_ownership_term.hpp
@@ -55,6 +55,14 @@
   Instant storedAt() const {
     return std::max(this->ClaimSentAt, this->Writer->storedAt());
   }
+  /// Whether a successor may have claimed since, which the worker of a start
+  /// need not know: a worker that restarts forgets the newest epoch.
+  bool mayHaveSuccessor(const Clock &Time) const {
+    const Instant StoredAtWall = this->Writer->storedAtWall();
+    const bool Suspended =
+        StoredAtWall.Ms != 0 && Time.wall() - StoredAtWall >= MinClaimTime;
+    return Suspended || Time.monotonic() - this->storedAt() >= MinClaimTime;
+  }
 };
 
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/journal_writer.cpp
+++ b/src/pistachioflow/entry/journal_writer.cpp
@@ -177,12 +177,14 @@
 JournalWriter::appendLoop(std::shared_ptr<JournalWriter> Self) {
   bool MaybeStored = false;
   Instant FirstSentAt;
+  Instant FirstSentWall;
   std::vector<JournalRecord> Records;
   while (!this->Queue.empty() || !this->Batch.empty()) {
     if (this->Batch.empty()) {
       Records = this->nextBatch();
       MaybeStored = false;
       FirstSentAt = this->Time.monotonic();
+      FirstSentWall = this->Time.wall();
     }
     if (this->batchIsTooOld()) {
       if (MaybeStored)
@@ -207,6 +209,7 @@
       this->noteAnswer(Answer.Outcome);
       ++this->Sequence;
       this->StoredAt = FirstSentAt;
+      this->StoredAtWall = FirstSentWall;
       this->resolveBatch(WriteOutcome::Stored);
       continue;
     }
--- a/src/pistachioflow/entry/worker_orders.cpp
+++ b/src/pistachioflow/entry/worker_orders.cpp
@@ -65,11 +65,14 @@
     co_return;
   }
   const WorkerPtr Worker = Existing->second;
-  const std::string_view Obstacle =
-      startObstacle(Term->Table, *Worker, Incarnation);
-  if (!Obstacle.empty()) {
+  const auto Obstacle = [&]() -> std::string_view {
+    return Term->mayHaveSuccessor(this->Time)
+               ? "owner_out_of_touch"
+               : startObstacle(Term->Table, *Worker, Incarnation);
+  };
+  if (const std::string_view Reason = Obstacle(); !Reason.empty()) {
     Term->Table.refuse(Task, Run, this->Time.monotonic(), RefusalRetryPause,
-                       Obstacle);
+                       Reason);
     this->requestRound();
     co_return;
   }
@@ -109,7 +112,7 @@
     co_await pauseFor(this->Io, OrderRetryPause);
     if (!Term->Active)
       co_return;
-    if (!startObstacle(Term->Table, *Worker, Incarnation).empty())
+    if (!Obstacle().empty())
       break;
     const bool Same =
         co_await this->confirmIncarnation(Term, Worker, Incarnation);
