--- a/src/pistachioflow/entry/lease_simulation_test.cpp
+++ b/src/pistachioflow/entry/lease_simulation_test.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -58,7 +59,8 @@
 
 class Day {
 public:
-  Day(Rules Played, std::uint64_t Seed) : Played(Played), Random(Seed) {
+  Day(Rules Played, std::uint64_t Seed)
+      : Played(std::move(Played)), Random(Seed) {
     this->Workers.resize(WorkersPerDay);
     this->Members.resize(Owners);
     for (SimulatedWorker &Worker : this->Workers)
