--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -97,7 +97,7 @@
   /// worker that it fits on and that is not reserved for a gang ahead of it.
   bool AcceptsAnyWorker = false;
   bool IgnoresReservations = false; ///< And those that are reserved as well.
-  /// And those that are suspended or on probation. False for last attempts.
+  /// And those that are suspended or on probation.
   bool AcceptsSuspended = false;
 };
 
--- a/src/pistachioflow/entry/dispatcher_ownership_term.hpp
+++ b/src/pistachioflow/entry/dispatcher_ownership_term.hpp
@@ -55,8 +55,9 @@
   Instant storedAt() const {
     return std::max(this->ClaimSentAt, this->Writer->storedAt());
   }
-  /// Whether a successor may have claimed since, which the worker of a start
-  /// need not know: a worker that restarts forgets the newest epoch.
+  /// Whether a successor may have claimed the ownership by now. A worker that
+  /// restarts forgets the newest epoch, so that it can't be relied on to refuse
+  /// an old owner's start.
   bool mayHaveSuccessor(const Clock &Time) const {
     const Instant StoredAtWall = this->Writer->storedAtWall();
     const bool Suspended =
