Count one crash under a start without an answer

Callers could see an innocent job shown as `failed`.

Why this works: after the first restart the start is not sent again, so that no later process was given it by us.

Before: 'a start without an answer counts for one crash of its worker' failed (2 in place of 1).

--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -41,6 +41,9 @@
   /// Its start got no answer and is not repeated. It may be carried out late,
   /// until the worker has accepted a stop.
   bool StartGivenUp = false;
+  /// Its worker has restarted since its start was sent, and it is not sent
+  /// again.
+  bool RestartedSinceSent = false;
   Instant PhaseSince;     ///< When it entered its phase.
   Instant StopAcceptedAt; ///< When the worker accepted a stop; 0: not yet.
   Instant IdleSince;      ///< Since when it has used no CPU; 0: in use.
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -151,7 +151,7 @@
     return;
   for (const PlaceRecord &Place : Record.Places)
     Unit->Members.push_back({Place.Worker, Place.IncarnationStartMs,
-                             MemberPhase::Adopted, false, false, Now});
+                             MemberPhase::Adopted, false, false, false, Now});
   this->registerMembers(*Unit);
 }
 
@@ -257,7 +257,7 @@
   Unit.Members.clear();
   for (const PlaceRecord &Place : Places)
     Unit.Members.push_back({Place.Worker, Place.IncarnationStartMs,
-                            MemberPhase::Planned, false, false, Now});
+                            MemberPhase::Planned, false, false, false, Now});
   this->registerMembers(Unit);
   this->markDirty(Unit);
   std::string Workers;
@@ -419,6 +419,7 @@
   Entry.IncarnationStartMs = Place.IncarnationStartMs;
   Entry.Phase = MemberPhase::Planned;
   Entry.PhaseSince = Now;
+  Entry.RestartedSinceSent = false;
   this->MembersByWorker[Place.Worker].push_back(Ref);
   this->markDirty(*Ref.ParentUnit);
   this->recordEvent(TableEvent::Kind::Placed,
--- a/src/pistachioflow/sched/job_table_reports.cpp
+++ b/src/pistachioflow/sched/job_table_reports.cpp
@@ -249,8 +249,9 @@
         Entry.Phase == MemberPhase::Running && Entry.PhaseSince >= AskedAt;
     // A confirmed run that the new incarnation shows was started by it.
     const bool MayHaveCrashed =
-        Entry.Phase == MemberPhase::Sent ||
-        (!Shown && !ConfirmedSince && Entry.Phase != MemberPhase::Planned);
+        (Entry.Phase == MemberPhase::Sent && !Entry.RestartedSinceSent) ||
+        (!Shown && !ConfirmedSince && Entry.Phase != MemberPhase::Planned &&
+         Entry.Phase != MemberPhase::Sent);
     if (MayHaveCrashed)
       this->recordCrash(Exposed, BornWallMs, Now, WallMs);
     // An order in flight may have reached the new incarnation, or may still
@@ -259,6 +260,7 @@
         Entry.Phase == MemberPhase::Sent || Entry.Phase == MemberPhase::Planned;
     if (InFlight || Shown || ConfirmedSince || Report.MoreEnds) {
       Entry.IncarnationStartMs = BornWallMs;
+      Entry.RestartedSinceSent = Entry.Phase == MemberPhase::Sent;
       // The new incarnation knows of no stop that the earlier one accepted.
       Entry.StopAcceptedAt = {};
       continue;
--- a/src/pistachioflow/sched/job_table_restart_test.cpp
+++ b/src/pistachioflow/sched/job_table_restart_test.cpp
@@ -87,4 +87,22 @@
   REQUIRE_FALSE(Fixture.occupied());
 }
 
+// Guards against innocent jobs that are shown as failed: each further restart
+// of a worker that another task crashes counted as a crash under a start that
+// the worker had never answered.
+TEST_CASE("a start without an answer counts for one crash of its worker") {
+  SentTaskFixture Fixture;
+  Fixture.Table.giveUpStart(Fixture.Task->name(), 1);
+  WorkerReport Report;
+  for (std::int64_t Next = NextIncarnation; Next < NextIncarnation + 3;
+       ++Next) {
+    Fixture.Now = Fixture.Now + Later;
+    Report.IncarnationStartMs = Next;
+    Fixture.Table.workerRestarted("w0", Report, Fixture.Now, Fixture.Now,
+                                  WallMs);
+    REQUIRE(Fixture.occupied());
+    REQUIRE(Fixture.Task->Crashes.Crashes.size() == 1);
+  }
+}
+
 } // namespace pistachioflow
