Start nothing in an evacuated failure domain

Change: each instance folds the evacuations from the operators' topic. The owner plans nothing on workers of such a domain, and checks again before each start order and each retry. It starts nothing while it does not know the evacuations for half of their timeout. Submissions get 503 while every domain is evacuated. All of it only where the settings name evacuation_ms.

--- a/include/pistachioflow/entry/caller_api.hpp
+++ b/include/pistachioflow/entry/caller_api.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,9 +24,12 @@
 class CallerApi {
 public:
   /// \p MaxRecordBytes is what one record of the store may hold.
-  CallerApi(const Clock &Time, const DesiredState &Desired,
-            JobStatusTable &JobStatuses, TopicFollower &Journal,
-            JournalWriter &Writer, std::size_t MaxRecordBytes);
+  /// \p AllEvacuated says whether no worker may get a start.
+  CallerApi(
+      const Clock &Time, const DesiredState &Desired,
+      JobStatusTable &JobStatuses, TopicFollower &Journal,
+      JournalWriter &Writer, std::size_t MaxRecordBytes,
+      std::function<bool()> AllEvacuated = [] { return false; });
 
   asio::awaitable<HttpResponse> handle(HttpRequest Request);
 
@@ -62,6 +66,7 @@
   TopicFollower &Journal;
   JournalWriter &Writer;
   std::size_t MaxRecordBytes;
+  std::function<bool()> AllEvacuated;
 };
 
 /// Returns a response with a Retry-After header, in seconds.
--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -6,12 +6,14 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
 #include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/entry/evacuated_domains.hpp"
 #include "pistachioflow/entry/journal_state.hpp"
 #include "pistachioflow/entry/journal_writer.hpp"
 #include "pistachioflow/entry/lease_bounds.hpp"
@@ -21,6 +23,13 @@
 
 namespace pistachioflow {
 
+/// What an instance knows of the operators' evacuations.
+struct EvacuationSource {
+  const EvacuatedDomains &Domains;
+  /// Whether this knowledge is recent enough for starts.
+  std::function<bool()> Current;
+};
+
 /// Runs the queues while this instance owns them: loads the state, polls the
 /// workers, places units, stores each decision, and sends starts and stops.
 ///
@@ -35,6 +44,7 @@
   /// \p OnFenced is called when a worker or the store knows a newer owner.
   Dispatcher(asio::io_context &Io, StoreClient &Store, const Clock &Time,
              const InstanceSettings &Settings, const DesiredState &Desired,
+             EvacuationSource Evacuations,
              std::function<void(std::string_view Reason)> OnFenced);
   ~Dispatcher();
 
@@ -71,6 +81,8 @@
   void runRound();
   PlanningView planningView(OwnershipTerm &Term, Instant Now) const;
   bool placeUnits(OwnershipTerm &Term);
+  bool mayPlace();
+  std::string_view evacuationObstacle(const WorkerLink &Worker) const;
   void sendStops(const TermPtr &Term);
   void preemptOnDrainingWorkers(OwnershipTerm &Term);
   void moveRefusedMembers(OwnershipTerm &Term);
@@ -107,12 +119,14 @@
   const Clock &Time;
   const InstanceSettings &Settings;
   const DesiredState &Desired;
+  EvacuationSource Evacuations;
   std::function<void(std::string_view Reason)> OnFenced;
   TermPtr CurrentTerm;
   DurationModel Durations;
   asio::steady_timer RoundTimer;
   Duration LastRoundTime{0};
   bool RoundRequested = false;
+  bool PlacementPaused = false;
 };
 
 } // namespace pistachioflow
--- a/include/pistachioflow/entry/metrics.hpp
+++ b/include/pistachioflow/entry/metrics.hpp
@@ -27,6 +27,7 @@
   Counter &ReadsFailed = Registry.counter("store_reads_failed_total");
   Counter &RunsStarted = Registry.counter("runs_started_total");
   Counter &StartsRefused = Registry.counter("starts_refused_total");
+  Counter &StartsEvacuated = Registry.counter("starts_evacuated_total");
   Counter &RunsEnded = Registry.counter("runs_ended_total");
   Counter &RunsLost = Registry.counter("runs_lost_total");
   Counter &RunsCrashed = Registry.counter("runs_crashed_total");
@@ -39,6 +40,7 @@
   Gauge &UnitsWaiting = Registry.gauge("units_waiting");
   Gauge &OwnerEpoch = Registry.gauge("owner_epoch");
   Gauge &DesiredVersion = Registry.gauge("desired_state_version");
+  Gauge &DomainsEvacuated = Registry.gauge("domains_evacuated");
   Gauge &LogLinesDropped = Registry.gauge("log_lines_dropped");
   LatencyHistogram &SubmitMs = Registry.latency("submit_ms");
   LatencyHistogram &AppendMs = Registry.latency("store_append_ms");
--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -9,6 +9,7 @@
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/entry/duration_model.hpp"
+#include "pistachioflow/entry/evacuated_domains.hpp"
 #include "pistachioflow/entry/worker_link.hpp"
 #include "pistachioflow/sched/desired_state.hpp"
 #include "pistachioflow/sched/job_table.hpp"
@@ -32,6 +33,7 @@
   Duration ReclaimAfter;
   Duration StopTimeout;       ///< A worker ends a stopped run within this time.
   double RemotePenalty = 1.0; ///< Slowdown factor off the preferred rack.
+  EvacuatedDomains Evacuated;
 };
 
 /// Start of a unit: one place for each task.
--- a/include/pistachioflow/platform/instance_settings.hpp
+++ b/include/pistachioflow/platform/instance_settings.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/base/result.hpp"
@@ -18,8 +19,9 @@
 struct InstanceSettings {
   std::string Instance; ///< Name of the node that the instance runs on.
   std::string FailureDomain;
-  std::string CallerAddress;  ///< Listens here for callers.
-  std::string ReadyAddress;   ///< Listens for the balancer's checks.
+  std::vector<std::string> KnownDomains; ///< Every domain of the deployment.
+  std::string CallerAddress;             ///< Listens here for callers.
+  std::string ReadyAddress;              ///< Listens for the balancer's checks.
   std::string MetricsAddress; ///< Own IP, first port of the internal range.
   std::string StoreAddress;
   std::int64_t MilliCores = 1'000; ///< Processor share of the instance.
@@ -32,6 +34,8 @@
   Duration StatusRetention{120'000}; ///< Of an ended job.
   Duration ReclaimTimeout{3'400};    ///< For guaranteed work to start.
   Duration CheckpointInterval{2'000};
+  /// For an evacuation of a domain to be in force; 0: there are none.
+  Duration EvacuationTimeout{0};
   double RemotePenalty = 3.0; ///< Slowdown factor off the data rack.
   std::int64_t MaxStoreRecordBytes = 262'144;
   std::int64_t MaxStoreRequestBytes = 2'097'152;
--- a/include/pistachioflow/platform/store_client.hpp
+++ b/include/pistachioflow/platform/store_client.hpp
@@ -21,6 +21,8 @@
 inline constexpr std::string_view JournalTopic = "keyed.pistachioflow";
 /// Key of the configuration in OperatorTopic.
 inline constexpr std::string_view DesiredStateKey = "config";
+/// Prefix of the keys in OperatorTopic that evacuate a failure domain.
+inline constexpr std::string_view EvacuationKeyPrefix = "evacuate/";
 
 /// Identifies an append, so that repeating it is idempotent and a producer with
 /// an older epoch is fenced.
--- a/include/pistachioflow/platform_standin/platform_server.hpp
+++ b/include/pistachioflow/platform_standin/platform_server.hpp
@@ -78,8 +78,11 @@
   /// Publishes the operators' configuration.
   void publish(const std::string &DesiredStateJson);
 
-  /// Drops every record of the journal but the newest of each key, and ends the
-  /// silence of watches.
+  /// Writes any record into the operators' topic. An empty value deletes it.
+  void putOperatorRecord(JournalRecord Record);
+
+  /// Drops every record of the journal and of the operators' topic but the
+  /// newest of each key, and ends the silence of watches.
   void forgetHistory();
 
   /// Writes the entries of all workers now, as it also does periodically.
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -41,6 +41,9 @@
   /// As FreeAfterStops, and once runs expected to end soon have ended.
   Resources FreeAfterExpectedEnds;
   bool Usable = true;
+  /// Operators have evacuated its failure domain: it is not usable, and counts
+  /// for no share of the workers.
+  bool Evacuated = false;
   /// It lately failed or refused what it was given, perhaps by the fault of the
   /// jobs. Used only by units with AcceptsSuspended, and after others.
   bool Suspended = false;
--- a/include/pistachioflow/sched/preference.hpp
+++ b/include/pistachioflow/sched/preference.hpp
@@ -50,7 +50,9 @@
   }
 };
 
-/// Thread safety: pure.
+/// Counts the service with and without evacuated domains and returns what is
+/// spare by either count: callers expect a start while most of a service is
+/// idle, wherever that is. Thread safety: pure.
 SpareCapacity spareCapacity(std::span<const PlacementWorker> Workers,
                             std::string_view Service);
 
--- a/include/pistachioflow/sched/wait_reason.hpp
+++ b/include/pistachioflow/sched/wait_reason.hpp
@@ -11,6 +11,7 @@
 /// Why a waiting unit was not placed.
 enum class WaitReason {
   Capacity,    ///< It fits nowhere, even on workers that may not be used now.
+  Evacuation,  ///< It fits only in evacuated failure domains.
   Workers,     ///< It fits only on workers that may not be used now.
   Withheld,    ///< What it needs is held for work ahead of it, or for itself.
   Rack,        ///< It fits on other racks than it prefers.
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t MaxEarlyCancellations = 1'000;
 /// Retry-After beyond that.
 constexpr std::int64_t EarlyCancellationRetryAfterS = 5;
+/// Retry-After while no worker may get a start: when that ends is not known.
+constexpr std::int64_t EvacuationRetryAfterS = 5;
 /// Retry-After until the configuration has been read.
 constexpr std::int64_t StartupRetryAfterS = 1;
 
@@ -57,9 +59,11 @@
 
 CallerApi::CallerApi(const Clock &Time, const DesiredState &Desired,
                      JobStatusTable &JobStatuses, TopicFollower &Journal,
-                     JournalWriter &Writer, std::size_t MaxRecordBytes)
+                     JournalWriter &Writer, std::size_t MaxRecordBytes,
+                     std::function<bool()> AllEvacuated)
     : Time(Time), Desired(Desired), JobStatuses(JobStatuses), Journal(Journal),
-      Writer(Writer), MaxRecordBytes(MaxRecordBytes) {}
+      Writer(Writer), MaxRecordBytes(MaxRecordBytes),
+      AllEvacuated(std::move(AllEvacuated)) {}
 
 HttpResponse CallerApi::filter(const HttpRequest &Request,
                                CallTarget &Target) const {
@@ -147,6 +151,11 @@
     logCall("submit_refused", Target.JobId, 400, Reason, Elapsed());
     co_return HttpResponse{400, {}, Reason};
   }
+  if (this->AllEvacuated()) {
+    entryMetrics().SubmitsRefused.add();
+    logCall("submit_refused", Target.JobId, 503, "all_evacuated", Elapsed());
+    co_return refusal(503, EvacuationRetryAfterS);
+  }
   if (this->storeFailing()) {
     entryMetrics().SubmitsRefused.add();
     logCall("submit_refused", Target.JobId, 503, "store_failing", Elapsed());
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -98,9 +98,11 @@
 Dispatcher::Dispatcher(asio::io_context &Io, StoreClient &Store,
                        const Clock &Time, const InstanceSettings &Settings,
                        const DesiredState &Desired,
+                       EvacuationSource Evacuations,
                        std::function<void(std::string_view Reason)> OnFenced)
     : Io(Io), Store(Store), Time(Time), Settings(Settings), Desired(Desired),
-      OnFenced(std::move(OnFenced)), RoundTimer(Io) {}
+      Evacuations(std::move(Evacuations)), OnFenced(std::move(OnFenced)),
+      RoundTimer(Io) {}
 
 Dispatcher::~Dispatcher() = default;
 
@@ -172,11 +174,25 @@
           Now,
           ReclaimAfter,
           this->Settings.StopTimeout,
-          this->Settings.RemotePenalty};
+          this->Settings.RemotePenalty,
+          this->Evacuations.Domains};
+}
+
+/// Whether the evacuations are known. A new owner may not have read them yet.
+bool Dispatcher::mayPlace() {
+  const bool Paused = !this->Evacuations.Current();
+  if (Paused != this->PlacementPaused)
+    logEvent(LogLevel::Warning,
+             Paused ? "placement_paused" : "placement_resumed",
+             {{"reason", "evacuations_unknown"}});
+  this->PlacementPaused = Paused;
+  return !Paused;
 }
 
 /// Places waiting units. Returns whether all of them were considered.
 bool Dispatcher::placeUnits(OwnershipTerm &Term) {
+  if (!this->mayPlace())
+    return true;
   const Instant Now = this->Time.monotonic();
   const PlanningResult Plan = planRound(this->planningView(Term, Now));
   entryMetrics().UnitsWaiting.set(
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -8,6 +8,7 @@
 #include "pistachioflow/entry/dispatcher.hpp"
 #include "pistachioflow/entry/metrics.hpp"
 #include "pistachioflow/entry/ownership.hpp"
+#include "pistachioflow/entry/rejected_entries.hpp"
 #include "pistachioflow/net/http_client.hpp"
 #include "pistachioflow/net/http_server.hpp"
 #include "pistachioflow/platform/desired_state_codec.hpp"
@@ -42,7 +43,11 @@
   asio::awaitable<HttpResponse> ready();
   asio::awaitable<HttpResponse> metrics(HttpRequest Request) const;
   asio::awaitable<void> drainAndStop();
+  void replaceOperatorRecords(const TopicRecords &Records);
+  void applyOperatorRecord(const JournalRecord &Record);
   void applyDesired(const JournalRecord &Record);
+  void noteEvacuation(std::string_view Domain, bool Began);
+  bool evacuationsKnown() const;
   void replaceJournal(const TopicRecords &Records);
   void applyJournal(const JournalRecord &Record);
   void applyStatus(const JournalRecord &Record);
@@ -55,6 +60,7 @@
   std::string SettingsPath;
   std::string Name; ///< Unique to this process of the instance.
   DesiredState Desired;
+  EvacuatedDomains Evacuated;
   JobStatusTable JobStatuses;
   StoreClient Store;
   TopicFollower OperatorFollower;
@@ -76,15 +82,15 @@
       SettingsPath(std::move(Path)),
       Name(this->Settings.Instance + "/" + std::to_string(Time.wall().Ms)),
       Store(Io, this->Settings.StoreAddress),
-      OperatorFollower(
-          Io, Store, Time, std::string(OperatorTopic),
-          {[this](const TopicRecords &Records) {
-             for (const JournalRecord &Record : Records)
-               this->applyDesired(Record);
-           },
-           [this](const JournalRecord &Record) { this->applyDesired(Record); },
-           [] {}},
-          {0}),
+      OperatorFollower(Io, Store, Time, std::string(OperatorTopic),
+                       {[this](const TopicRecords &Records) {
+                          this->replaceOperatorRecords(Records);
+                        },
+                        [this](const JournalRecord &Record) {
+                          this->applyOperatorRecord(Record);
+                        },
+                        [] {}},
+                       {0}),
       Journal(
           Io, Store, Time, std::string(JournalTopic),
           {[this](const TopicRecords &Records) {
@@ -97,10 +103,12 @@
           Io, Store, Time, this->Name, 1, 0,
           static_cast<std::size_t>(this->Settings.MaxStoreRequestBytes),
           MaxCallerRecordAge)),
-      QueueDispatcher(Io, Store, Time, this->Settings, this->Desired,
-                      [this](std::string_view Reason) {
-                        this->QueueOwnership.lose(Reason);
-                      }),
+      QueueDispatcher(
+          Io, Store, Time, this->Settings, this->Desired,
+          {this->Evacuated, [this] { return this->evacuationsKnown(); }},
+          [this](std::string_view Reason) {
+            this->QueueOwnership.lose(Reason);
+          }),
       QueueOwnership(
           Io, Store, Time, this->Name, this->Settings.MilliCores,
           static_cast<std::size_t>(this->Settings.MaxStoreRequestBytes),
@@ -120,7 +128,10 @@
              co_await this->Journal.refresh(ClaimRefreshTimeout);
            }}),
       Api(Time, this->Desired, this->JobStatuses, this->Journal, *this->Writer,
-          static_cast<std::size_t>(this->Settings.MaxStoreRecordBytes)),
+          static_cast<std::size_t>(this->Settings.MaxStoreRecordBytes),
+          [this] {
+            return coversAll(this->Evacuated, this->Settings.KnownDomains);
+          }),
       CallerServer(Io,
                    [this](HttpRequest Request) {
                      return this->Api.handle(std::move(Request));
@@ -154,6 +165,51 @@
   co_return Response;
 }
 
+void Instance::Components::replaceOperatorRecords(const TopicRecords &Records) {
+  const EvacuatedDomains Before =
+      std::exchange(this->Evacuated, this->Settings.EvacuationTimeout.Ms == 0
+                                         ? EvacuatedDomains{}
+                                         : readEvacuations(Records));
+  for (const std::string &Domain : Before.Names)
+    if (!this->Evacuated.contains(Domain))
+      this->noteEvacuation(Domain, false);
+  for (const std::string &Domain : this->Evacuated.Names)
+    if (!Before.contains(Domain))
+      this->noteEvacuation(Domain, true);
+  for (const JournalRecord &Record : Records)
+    this->applyDesired(Record);
+}
+
+void Instance::Components::applyOperatorRecord(const JournalRecord &Record) {
+  this->applyDesired(Record);
+  if (this->Settings.EvacuationTimeout.Ms == 0)
+    return;
+  const EvacuationChange Change = applyEvacuation(this->Evacuated, Record);
+  if (Change != EvacuationChange::None)
+    this->noteEvacuation(evacuatedDomainOf(Record.Key),
+                         Change == EvacuationChange::Began);
+}
+
+void Instance::Components::noteEvacuation(std::string_view Domain, bool Began) {
+  logEvent(LogLevel::Info, Began ? "domain_evacuated" : "domain_restored",
+           {{"domain", printableKey(Domain)}});
+  const auto &Known = this->Settings.KnownDomains;
+  if (Began && std::ranges::find(Known, Domain) == Known.end())
+    logEvent(LogLevel::Warning, "evacuation_unknown_domain",
+             {{"domain", printableKey(Domain)}});
+  entryMetrics().DomainsEvacuated.set(
+      static_cast<std::int64_t>(this->Evacuated.Names.size()));
+  this->QueueDispatcher.requestRound();
+}
+
+bool Instance::Components::evacuationsKnown() const {
+  const Duration Age =
+      this->Time.monotonic() - this->OperatorFollower.lastContact();
+  const Duration Timeout = this->Settings.EvacuationTimeout;
+  return Timeout.Ms == 0 || (this->OperatorFollower.caughtUp() &&
+                             evacuationsCurrent(Age, Timeout));
+}
+
 void Instance::Components::applyDesired(const JournalRecord &Record) {
   if (Record.Key != DesiredStateKey || Record.Value.empty())
     return;
@@ -272,7 +328,11 @@
               {"findings", formatFindings(Decoded.error().Details)}});
     return;
   }
+  const bool Evacuates = Parts.Settings.EvacuationTimeout.Ms != 0;
   Parts.Settings = std::move(Decoded.value());
+  // Evacuations are read only where the settings have a timeout for them.
+  if (Evacuates != (Parts.Settings.EvacuationTimeout.Ms != 0))
+    Parts.OperatorFollower.reload();
   logEvent(LogLevel::Info, "reloaded", {{"path", Parts.SettingsPath}});
 }
 
--- a/src/pistachioflow/entry/planning_inputs.cpp
+++ b/src/pistachioflow/entry/planning_inputs.cpp
@@ -74,6 +74,8 @@
     // The entry of an earlier incarnation may name another capacity.
     Worker.Usable = Link->Listed && Link->Synced && !Link->Entry.Draining &&
                     answersAs(*Link, Link->IncarnationStartMs);
+    Worker.Evacuated = View.Evacuated.contains(Link->Entry.FailureDomain);
+    Worker.Usable = Worker.Usable && !Worker.Evacuated;
     Worker.Suspended = isSuspended(Link->Trust, View.Now);
     Worker.Deprioritized = Link->AvoidedUntil > View.Now;
     Worker.ReservedForUrgent = Link->ReservedForUrgentUntil > View.Now;
--- a/src/pistachioflow/entry/planning_workers_test.cpp
+++ b/src/pistachioflow/entry/planning_workers_test.cpp
@@ -99,4 +99,28 @@
     REQUIRE(Plan.Moves[0].Place.Worker != Plan.Moves[1].Place.Worker);
 }
 
+// Guards against starts in an evacuated domain (EVAC) and against idle workers
+// once it is restored.
+TEST_CASE("a worker gets starts only outside evacuated domains") {
+  struct Row {
+    std::set<std::string, std::less<>> Evacuated;
+    std::size_t Starts;
+  };
+  const auto Case = GENERATE(Row{{}, 16}, Row{{"z1"}, 8}, Row{{"z3"}, 16},
+                             Row{{"z1", "z2"}, 0});
+  PlanningFixture Fixture;
+  Fixture.addWorker("w1", 1, 1);
+  Fixture.addWorker("w2", 1, 1);
+  Fixture.Workers["w1"]->Entry.FailureDomain = "z1";
+  Fixture.Workers["w2"]->Entry.FailureDomain = "z2";
+  Fixture.addJob(20, false, 0);
+  PlanningView View = Fixture.view();
+  View.Evacuated.Names = Case.Evacuated;
+  const PlanningResult Plan = planRound(View);
+  REQUIRE(Plan.Starts.size() == Case.Starts);
+  for (const UnitPlacement &Start : Plan.Starts)
+    REQUIRE_FALSE(View.Evacuated.contains(
+        Fixture.Workers[Start.Places[0].Worker]->Entry.FailureDomain));
+}
+
 } // namespace pistachioflow
--- a/src/pistachioflow/entry/worker_orders.cpp
+++ b/src/pistachioflow/entry/worker_orders.cpp
@@ -49,6 +49,14 @@
 
 } // namespace
 
+/// Why evacuations forbid a start; empty: they don't.
+std::string_view
+Dispatcher::evacuationObstacle(const WorkerLink &Worker) const {
+  if (this->Evacuations.Domains.contains(Worker.Entry.FailureDomain))
+    return "domain_evacuated";
+  return this->Evacuations.Current() ? "" : "evacuations_unknown";
+}
+
 asio::awaitable<void> Dispatcher::startMember(TermPtr Term, Unit *StartedUnit,
                                               std::size_t Index,
                                               std::int64_t Run) {
@@ -66,11 +74,15 @@
   }
   const WorkerPtr Worker = Existing->second;
   const auto Obstacle = [&]() -> std::string_view {
-    return Term->mayHaveSuccessor(this->Time)
-               ? "owner_out_of_touch"
-               : startObstacle(Term->Table, *Worker, Incarnation);
+    if (Term->mayHaveSuccessor(this->Time))
+      return "owner_out_of_touch";
+    const std::string_view Evacuation = this->evacuationObstacle(*Worker);
+    return Evacuation.empty() ? startObstacle(Term->Table, *Worker, Incarnation)
+                              : Evacuation;
   };
   if (const std::string_view Reason = Obstacle(); !Reason.empty()) {
+    if (!this->evacuationObstacle(*Worker).empty())
+      entryMetrics().StartsEvacuated.add();
     Term->Table.refuse(Task, Run, this->Time.monotonic(), RefusalRetryPause,
                        Reason);
     this->requestRound();
--- a/src/pistachioflow/platform/instance_settings.cpp
+++ b/src/pistachioflow/platform/instance_settings.cpp
@@ -50,10 +50,22 @@
       readSeconds(Reader, "status_s", Settings.StatusRetention);
   Settings.CheckpointInterval =
       readSeconds(Reader, "checkpoint_interval_s", Settings.CheckpointInterval);
+  if (Reader.has("evacuation_ms"))
+    Settings.EvacuationTimeout = readMs(Reader, "evacuation_ms", {});
   Settings.RemotePenalty =
       Reader.number("remote_penalty", 1.0, 1'000.0, Settings.RemotePenalty);
 }
 
+std::vector<std::string> readDomains(const nlohmann::json &Document) {
+  std::vector<std::string> Domains;
+  const auto Regions = Document.find("zones");
+  if (Regions == Document.end() || !Regions->is_object())
+    return Domains;
+  for (const auto &[Domain, Region] : Regions->items())
+    Domains.push_back(Domain);
+  return Domains;
+}
+
 std::string metricsAddress(const nlohmann::json &Document,
                            const std::string &Ip) {
   const auto Range = Document.find("internal_port_range");
@@ -73,6 +85,7 @@
   ObjectReader Reader(Document, "$", Problems);
   Settings.Instance = Reader.text("node_name", TextRule::Key);
   Settings.FailureDomain = Reader.text("zone", TextRule::Key);
+  Settings.KnownDomains = readDomains(Document);
   Settings.MetricsAddress =
       metricsAddress(Document, Reader.text("ip_address", TextRule::Host));
   Settings.WorkerHeartbeat =
--- a/src/pistachioflow/platform_standin/platform_server.cpp
+++ b/src/pistachioflow/platform_standin/platform_server.cpp
@@ -135,8 +135,14 @@
   this->RecordsAppended.notify();
 }
 
+void PlatformServer::putOperatorRecord(JournalRecord Record) {
+  this->Store.put(std::string(OperatorTopic), std::move(Record));
+  this->RecordsAppended.notify();
+}
+
 void PlatformServer::forgetHistory() {
   this->Store.compact(std::string(JournalTopic));
+  this->Store.compact(std::string(OperatorTopic));
   this->StoreBehaviour.WatchesSilent = false;
   this->RecordsAppended.notify();
 }
--- a/src/pistachioflow/sched/placement.cpp
+++ b/src/pistachioflow/sched/placement.cpp
@@ -24,6 +24,11 @@
   return Unit.Step->TaskResources.Accelerators * Unit.TaskCount;
 }
 
+std::size_t countInService(WorkerSpan Workers) {
+  return static_cast<std::size_t>(
+      std::ranges::count(Workers, false, &PlacementWorker::Evacuated));
+}
+
 void occupy(WorkerSpan Workers, const WorkerChoice &Chosen,
             const Resources &PerTask) {
   for (const std::size_t Index : Chosen) {
@@ -65,7 +70,7 @@
       : Workers(Workers), Waiting(Waiting.begin(), Waiting.end()),
         Placed(Placed), Stopping(std::make_unique<bool[]>(Placed.size())),
         Held(Waiting.size()), Guarantees(std::move(Guarantees)),
-        Finder(Workers) {
+        InService(countInService(Workers)), Finder(Workers) {
     for (std::size_t Index = 0; Index < Placed.size(); ++Index)
       this->Stopping[Index] = Placed[Index].Stopping;
     this->MayHoldBack =
@@ -333,7 +338,7 @@
   void reserveFor(std::size_t Index, std::span<const std::string_view> Racks) {
     const WaitingUnit &Unit = this->Waiting[Index];
     const std::size_t Limit =
-        this->Workers.size() * MaxReservedPercent / WholePercent;
+        this->InService * MaxReservedPercent / WholePercent;
     if (this->ReservedCount >= Limit)
       return;
     std::optional<WorkerChoice> Chosen =
@@ -436,6 +441,7 @@
   std::vector<std::optional<WorkerChoice>> Held;
   GuaranteeLedger Guarantees;
   BlockedStep LastBlocked;
+  std::size_t InService; ///< Workers outside evacuated domains.
   std::size_t ReservedCount = 0;
   std::size_t StartedTasks = 0;
   /// Some workers are reserved for other work, suspended or on probation.
@@ -450,8 +456,10 @@
 /// one.
 void limitUrgentReservations(WorkerSpan Workers) {
   const auto Reserved =
-      std::ranges::count_if(Workers, &PlacementWorker::ReservedForUrgent);
-  if (static_cast<std::size_t>(Reserved) * 2 <= Workers.size())
+      std::ranges::count_if(Workers, [](const PlacementWorker &Worker) {
+        return Worker.ReservedForUrgent && !Worker.Evacuated;
+      });
+  if (static_cast<std::size_t>(Reserved) * 2 <= countInService(Workers))
     return;
   for (PlacementWorker &Worker : Workers)
     Worker.ReservedForUrgent = false;
--- a/src/pistachioflow/sched/preference_test.cpp
+++ b/src/pistachioflow/sched/preference_test.cpp
@@ -39,6 +39,30 @@
   REQUIRE(Case.Spare.sparesFor({1'000, 100, Case.Accelerators}) == Case.Spares);
 }
 
+// Guards against a unit that waits for its preferences beside a service that is
+// mostly idle, by either count of the domains.
+TEST_CASE("capacity is spare with or without the evacuated domains") {
+  struct Row {
+    const char *Name;
+    std::int64_t FreeInService; ///< Of 8 accelerators.
+    std::int64_t FreeEvacuated; ///< Of 8 accelerators.
+    bool Spare;
+  };
+  const auto Case = GENERATE(
+      Row{"idle in service", 5, 0, true}, Row{"idle as a whole", 2, 8, true},
+      Row{"busy", 4, 4, false}, Row{"full", 0, 8, false});
+  CAPTURE(Case.Name);
+  std::vector<PlacementWorker> Workers(2);
+  for (PlacementWorker &Worker : Workers) {
+    Worker.Service = "svc";
+    Worker.Capacity = {8'000, 100, 8};
+  }
+  Workers[0].FreeNow.Accelerators = Case.FreeInService;
+  Workers[1].FreeNow.Accelerators = Case.FreeEvacuated;
+  Workers[1].Evacuated = true;
+  REQUIRE(spareCapacity(Workers, "svc").Accelerators == Case.Spare);
+}
+
 TEST_CASE("a service has capacity to spare below half use of a resource") {
   struct Row {
     const char *Name;
--- a/src/pistachioflow/sched/wait_reason.cpp
+++ b/src/pistachioflow/sched/wait_reason.cpp
@@ -32,6 +32,8 @@
   switch (Reason) {
   case WaitReason::Capacity:
     return "capacity";
+  case WaitReason::Evacuation:
+    return "evacuation";
   case WaitReason::Workers:
     return "workers";
   case WaitReason::Withheld:
@@ -54,6 +56,10 @@
   std::vector<PlacementWorker> Open = withoutReservations(Before);
   if (fitsNow(Open, Unit))
     return WaitReason::Withheld;
+  for (PlacementWorker &Worker : Open)
+    Worker.Usable = Worker.Usable || Worker.Evacuated;
+  if (fitsNow(Open, Unit))
+    return WaitReason::Evacuation;
   for (PlacementWorker &Worker : Open) {
     Worker.Usable = true;
     Worker.Suspended = false;
--- a/src/pistachioflow/sched/wait_reason_test.cpp
+++ b/src/pistachioflow/sched/wait_reason_test.cpp
@@ -27,19 +27,25 @@
     bool FreeAfter;
     bool Usable;
     bool Reserved;
+    bool Evacuated;
     WaitReason Reason;
   };
   const auto Case = GENERATE(
-      Row{"full", false, false, true, false, WaitReason::Capacity},
-      Row{"unusable", true, true, false, false, WaitReason::Workers},
-      Row{"held for others", true, false, true, false, WaitReason::Withheld},
-      Row{"on another rack", true, true, true, false, WaitReason::Rack},
-      Row{"reserved", true, true, true, true, WaitReason::Reservation});
+      Row{"full", false, false, true, false, false, WaitReason::Capacity},
+      Row{"full and evacuated", false, false, false, false, true,
+          WaitReason::Capacity},
+      Row{"evacuated", true, true, false, false, true, WaitReason::Evacuation},
+      Row{"unusable", true, true, false, false, false, WaitReason::Workers},
+      Row{"held for others", true, false, true, false, false,
+          WaitReason::Withheld},
+      Row{"on another rack", true, true, true, false, false, WaitReason::Rack},
+      Row{"reserved", true, true, true, true, false, WaitReason::Reservation});
   CAPTURE(Case.Name);
   std::vector<PlacementWorker> Before{makeWorker("w0", "r0"),
                                       makeWorker("w1", "r1")};
   Before[0].FreeNow = {};
   Before[1].Usable = Case.Usable;
+  Before[1].Evacuated = Case.Evacuated;
   if (!Case.Free)
     Before[1].FreeNow = {};
   std::vector<PlacementWorker> After = Before;
--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -122,19 +122,22 @@
   const auto Local = [](unsigned short Port) {
     return "127.0.0.1:" + std::to_string(Port);
   };
-  const Json Settings = {
-      {"node_name", Member.Name},
-      {"zone", "z1"},
-      {"ip_address", "127.0.0.1"},
-      {"heartbeat_interval_ms", 500},
-      {"listen_addresses",
-       {{"frontend", Local(Member.CallerPort)},
-        {"ready", Local(Member.ReadyPort)}}},
-      {"platform",
-       {{"address", Local(Member.StoreProxy->port())},
-        {"record_bytes", this->MaxRecordBytes},
-        {"request_bytes", this->MaxAppendBytes}}},
-      {"bounds", {{"max_hold_ms", 6'000}, {"grace_period_s", 6}}}};
+  Json Settings = {{"node_name", Member.Name},
+                   {"zone", "z1"},
+                   {"ip_address", "127.0.0.1"},
+                   {"heartbeat_interval_ms", 500},
+                   {"listen_addresses",
+                    {{"frontend", Local(Member.CallerPort)},
+                     {"ready", Local(Member.ReadyPort)}}},
+                   {"platform",
+                    {{"address", Local(Member.StoreProxy->port())},
+                     {"record_bytes", this->MaxRecordBytes},
+                     {"request_bytes", this->MaxAppendBytes}}},
+                   {"bounds", {{"max_hold_ms", 6'000}, {"grace_period_s", 6}}}};
+  if (this->EvacuationTimeout.Ms > 0)
+    Settings["bounds"]["evacuation_ms"] = this->EvacuationTimeout.Ms;
+  for (const std::string &Domain : this->Domains)
+    Settings["zones"][Domain] = "region";
   std::ofstream(Member.SettingsPath) << dumpJson(Settings);
 }
 
@@ -146,6 +149,13 @@
     this->writeSettings(*Member);
 }
 
+void Fleet::allowEvacuations(Duration Timeout, std::vector<std::string> Names) {
+  this->EvacuationTimeout = Timeout;
+  this->Domains = std::move(Names);
+  for (const auto &Member : this->Members)
+    this->writeSettings(*Member);
+}
+
 void Fleet::limitRecords(std::int64_t Bytes) {
   this->MaxRecordBytes = Bytes;
   this->Platform.StoreBehaviour.MaxRecordBytes =
--- a/tests/platform/fleet.hpp
+++ b/tests/platform/fleet.hpp
@@ -79,6 +79,9 @@
   /// Sets how many bytes one append may have, before run().
   void limitAppends(std::int64_t Bytes);
 
+  /// Lets operators evacuate one of \p Domains within \p Timeout, before run().
+  void allowEvacuations(Duration Timeout, std::vector<std::string> Domains);
+
   /// Sets how many bytes one record may have, before run().
   void limitRecords(std::int64_t Bytes);
 
@@ -128,6 +131,8 @@
   std::string Folder;
   std::int64_t MaxAppendBytes = 2'097'152;
   std::int64_t MaxRecordBytes = 262'144;
+  Duration EvacuationTimeout; ///< 0: the settings name none.
+  std::vector<std::string> Domains;
   std::vector<std::string> Violations;
 
 public:
