--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -44,7 +44,7 @@
   /// \p OnFenced is called when a worker or the store knows a newer owner.
   Dispatcher(asio::io_context &Io, StoreClient &Store, const Clock &Time,
              const InstanceSettings &Settings, const DesiredState &Desired,
-             EvacuationSource Evacuations,
+             EvacuationSource Evacuations, PacePlacement PaceMode,
              std::function<void(std::string_view Reason)> OnFenced);
   ~Dispatcher();
 
@@ -82,6 +82,8 @@
   PlanningView planningView(OwnershipTerm &Term, Instant Now) const;
   bool placeUnits(OwnershipTerm &Term);
   bool mayPlace();
+  void learnPaces(OwnershipTerm &Term, const WorkerLink &Worker, Instant Now);
+  void trimPaces();
   std::string_view evacuationObstacle(const WorkerLink &Worker) const;
   void sendStops(const TermPtr &Term);
   void preemptOnDrainingWorkers(OwnershipTerm &Term);
@@ -123,6 +125,9 @@
   std::function<void(std::string_view Reason)> OnFenced;
   TermPtr CurrentTerm;
   DurationModel Durations;
+  PacePlacement PaceMode;
+  PaceModel Paces;
+  Instant PacesTrimmedAt;
   asio::steady_timer RoundTimer;
   Duration LastRoundTime{0};
   bool RoundRequested = false;
--- a/include/pistachioflow/entry/instance.hpp
+++ b/include/pistachioflow/entry/instance.hpp
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 
 #include "pistachioflow/base/clock.hpp"
+#include "pistachioflow/entry/pace_learning.hpp"
 #include "pistachioflow/platform/instance_settings.hpp"
 
 namespace pistachioflow {
@@ -17,7 +18,8 @@
 public:
   /// \p SettingsPath is read again on reload().
   Instance(asio::io_context &Io, const Clock &Time, InstanceSettings Settings,
-           std::string SettingsPath);
+           std::string SettingsPath,
+           PacePlacement PaceMode = PacePlacement::Off);
   ~Instance();
 
   /// Listens and begins to follow the store. Returns false, and logs why, when
--- a/include/pistachioflow/entry/metrics.hpp
+++ b/include/pistachioflow/entry/metrics.hpp
@@ -41,6 +41,7 @@
   Gauge &OwnerEpoch = Registry.gauge("owner_epoch");
   Gauge &DesiredVersion = Registry.gauge("desired_state_version");
   Gauge &DomainsEvacuated = Registry.gauge("domains_evacuated");
+  Gauge &PaceSpread = Registry.gauge("worker_pace_spread_percent");
   Gauge &LogLinesDropped = Registry.gauge("log_lines_dropped");
   LatencyHistogram &SubmitMs = Registry.latency("submit_ms");
   LatencyHistogram &AppendMs = Registry.latency("store_append_ms");
--- a/include/pistachioflow/entry/planning.hpp
+++ b/include/pistachioflow/entry/planning.hpp
@@ -10,6 +10,7 @@
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/entry/duration_model.hpp"
 #include "pistachioflow/entry/evacuated_domains.hpp"
+#include "pistachioflow/entry/pace_learning.hpp"
 #include "pistachioflow/entry/worker_link.hpp"
 #include "pistachioflow/sched/desired_state.hpp"
 #include "pistachioflow/sched/job_table.hpp"
@@ -34,12 +35,15 @@
   Duration StopTimeout;       ///< A worker ends a stopped run within this time.
   double RemotePenalty = 1.0; ///< Slowdown factor off the preferred rack.
   EvacuatedDomains Evacuated;
+  PacePlacement PaceMode = PacePlacement::Off;
+  const PaceModel *Paces = nullptr; ///< Null: nothing is known of paces.
 };
 
 /// Start of a unit: one place for each task.
 struct UnitPlacement {
   Unit *Placed = nullptr;
   std::vector<PlaceRecord> Places;
+  std::string Detail; ///< Why these workers, for the log.
 };
 
 /// Preemption of a unit for the benefit of another.
--- a/include/pistachioflow/sched/job_table.hpp
+++ b/include/pistachioflow/sched/job_table.hpp
@@ -49,6 +49,8 @@
   Instant IdleSince;      ///< Since when it has used no CPU; 0: in use.
   std::int64_t ProgressPercent = 0; ///< From the latest report.
   Instant ReportedAt;
+  bool SpeedLearned =
+      false; ///< Its speed has been learned from; worker_pace.hpp.
 
   /// Whether it occupies, or may occupy, capacity on its worker.
   bool occupiesCapacity() const {
@@ -84,6 +86,8 @@
   Instant FirstMemberEndedAt;
   bool Done = false;
   std::string Checkpoint;
+  /// This process placed its newest run, which resumes no checkpoint.
+  bool FromScratch = false;
   std::vector<Member> Members; ///< Empty: waits to be placed.
   Instant ReadySince;          ///< When it became ready to be placed.
   Instant PlacedAt;            ///< Of the newest run.
@@ -233,7 +237,9 @@
   std::vector<Unit *> active();
 
   /// Begins the next run of \p Unit on \p Places, one for each task.
-  void place(Unit &Unit, std::span<const PlaceRecord> Places, Instant Now);
+  /// \p Detail is for the log.
+  void place(Unit &Unit, std::span<const PlaceRecord> Places, Instant Now,
+             std::string Detail = {});
 
   /// Requests the stop of the current run. Afterwards the unit waits to be
   /// placed again.
--- a/include/pistachioflow/sched/placement.hpp
+++ b/include/pistachioflow/sched/placement.hpp
@@ -12,6 +12,7 @@
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/sched/guarantee_ledger.hpp"
 #include "pistachioflow/sched/job_spec.hpp"
+#include "pistachioflow/sched/worker_pace.hpp"
 
 namespace pistachioflow {
 
@@ -61,10 +62,19 @@
   /// workers.
   std::size_t ReservedForGroup = NoGroup;
   bool Occupied = false;          ///< Something runs on it.
+  double LogPace = 0;             ///< Relative to other workers; see logPace().
+  TaskKinds KindsThere = 0;       ///< Of all that runs on it.
   bool HostsSuspect = false;      ///< A suspect has just begun to run on it.
   bool ReservedThisRound = false; ///< For a unit earlier in the order.
 };
 
+/// Which workers a unit prefers by their pace, before the tightest fit.
+enum class PacePreference {
+  None,
+  Fastest,    ///< Urgent work, and gangs: their slowest member counts.
+  NotFastest, ///< Leaves the fastest workers to those.
+};
+
 /// A unit that waits to be placed. Its texts are views of the caller's.
 struct WaitingUnit {
   std::string_view Service;
@@ -102,6 +112,9 @@
   bool IgnoresReservations = false; ///< And those that are reserved as well.
   /// And those that are suspended or on probation.
   bool AcceptsSuspended = false;
+  PacePreference Pace = PacePreference::None;
+  /// See slowdownsBeside(). Empty: they don't matter to it.
+  std::span<const double> SlowdownsBeside;
 };
 
 /// A unit that has been placed. Its texts are views of the caller's.
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include "pistachioflow/base/log.hpp"
@@ -17,6 +18,7 @@
 /// Interval of the checks for due occurrences, draining workers and expired
 /// jobs.
 constexpr Duration PeriodicInterval{100};
+constexpr Duration PaceTrimInterval{1'000};
 /// Length of a job's id, with which the name of each of its tasks begins.
 constexpr std::size_t JobIdSize = 16;
 /// Other workers are preferred for this long after a run has failed on one.
@@ -98,11 +100,11 @@
 Dispatcher::Dispatcher(asio::io_context &Io, StoreClient &Store,
                        const Clock &Time, const InstanceSettings &Settings,
                        const DesiredState &Desired,
-                       EvacuationSource Evacuations,
+                       EvacuationSource Evacuations, PacePlacement PaceMode,
                        std::function<void(std::string_view Reason)> OnFenced)
     : Io(Io), Store(Store), Time(Time), Settings(Settings), Desired(Desired),
       Evacuations(std::move(Evacuations)), OnFenced(std::move(OnFenced)),
-      RoundTimer(Io) {}
+      PaceMode(PaceMode), RoundTimer(Io) {}
 
 Dispatcher::~Dispatcher() = default;
 
@@ -175,7 +177,9 @@
           ReclaimAfter,
           this->Settings.StopTimeout,
           this->Settings.RemotePenalty,
-          this->Evacuations.Domains};
+          this->Evacuations.Domains,
+          this->PaceMode,
+          &this->Paces};
 }
 
 /// Whether the evacuations are known. A new owner may not have read them yet.
@@ -202,6 +206,25 @@
   return !Plan.Incomplete;
 }
 
+void Dispatcher::learnPaces(OwnershipTerm &Term, const WorkerLink &Worker,
+                            Instant Now) {
+  if (this->PaceMode != PacePlacement::Off)
+    learnFromProgress(this->Paces, Term.Table, Worker, Now);
+}
+
+/// Forgets old paces, and publishes how far workers differ.
+void Dispatcher::trimPaces() {
+  constexpr double WholePercent = 100;
+  const Instant Now = this->Time.monotonic();
+  const bool Due = Now - this->PacesTrimmedAt >= PaceTrimInterval;
+  if (this->PaceMode == PacePlacement::Off || !Due)
+    return;
+  this->PacesTrimmedAt = Now;
+  forgetOldSpeeds(this->Paces, Now);
+  entryMetrics().PaceSpread.set(
+      std::lround(WholePercent * paceSpread(this->Paces, Now)));
+}
+
 void Dispatcher::moveRefusedMembers(OwnershipTerm &Term) {
   const Instant Now = this->Time.monotonic();
   const MovePlan Plan = planMoves(this->planningView(Term, Now));
@@ -267,6 +290,7 @@
       ++Entry;
     }
     this->verifyWorkers(*Term);
+    this->trimPaces();
     const std::int64_t WallMs = this->Time.wall().Ms;
     Term->Table.expire(WallMs - this->Settings.StatusRetention.Ms -
                        RetentionMargin.Ms);
@@ -329,6 +353,10 @@
   if (Event.Detail == "done") {
     recordSuccess(Worker.Trust, Now - Duration{Event.DurationMs}, Now);
     this->Durations.learn(Event.Queue, Event.EstimatedMs, Event.DurationMs);
+    Unit *Done = Term.Table.unitOf(Event.Subject);
+    if (Done && this->PaceMode != PacePlacement::Off)
+      learnFromEnd(this->Paces, Term.Table, Worker, *Done,
+                   Duration{Event.DurationMs}, Now);
   }
   if (Event.Detail != "failed")
     return;
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -38,7 +38,8 @@
 
 struct Instance::Components {
   Components(asio::io_context &Io, const Clock &Time,
-             InstanceSettings InitialSettings, std::string Path);
+             InstanceSettings InitialSettings, std::string Path,
+             PacePlacement PaceMode);
 
   asio::awaitable<HttpResponse> ready();
   asio::awaitable<HttpResponse> metrics(HttpRequest Request) const;
@@ -77,7 +78,7 @@
 
 Instance::Components::Components(asio::io_context &Io, const Clock &Time,
                                  InstanceSettings InitialSettings,
-                                 std::string Path)
+                                 std::string Path, PacePlacement PaceMode)
     : Io(Io), Time(Time), Settings(std::move(InitialSettings)),
       SettingsPath(std::move(Path)),
       Name(this->Settings.Instance + "/" + std::to_string(Time.wall().Ms)),
@@ -106,6 +107,7 @@
       QueueDispatcher(
           Io, Store, Time, this->Settings, this->Desired,
           {this->Evacuated, [this] { return this->evacuationsKnown(); }},
+          PaceMode,
           [this](std::string_view Reason) {
             this->QueueOwnership.lose(Reason);
           }),
@@ -294,9 +296,10 @@
 }
 
 Instance::Instance(asio::io_context &Io, const Clock &Time,
-                   InstanceSettings Settings, std::string SettingsPath)
+                   InstanceSettings Settings, std::string SettingsPath,
+                   PacePlacement PaceMode)
     : Impl(std::make_unique<Components>(Io, Time, std::move(Settings),
-                                        std::move(SettingsPath))) {}
+                                        std::move(SettingsPath), PaceMode)) {}
 
 Instance::~Instance() = default;
 
--- a/src/pistachioflow/entry/planning.cpp
+++ b/src/pistachioflow/entry/planning.cpp
@@ -1,6 +1,9 @@
 #include "pistachioflow/entry/planning.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
+#include <string>
 #include <utility>
 
 #include "pistachioflow/sched/queue_order.hpp"
@@ -56,6 +59,17 @@
   return rankUnit(Inputs, View.Now);
 }
 
+/// Describes the pace of the slowest chosen worker, in percent of a usual one.
+std::string describePace(std::span<const PlacementWorker> Workers,
+                         std::span<const std::size_t> Chosen) {
+  constexpr double WholePercent = 100;
+  double Slowest = std::numeric_limits<double>::max();
+  for (const std::size_t Worker : Chosen)
+    Slowest = std::min(Slowest, Workers[Worker].LogPace);
+  return "slowest_pace " +
+         std::to_string(std::lround(WholePercent * std::exp(Slowest)));
+}
+
 /// Explains the waits that are due for a log line. \p After are the workers
 /// after the decisions of \p Plan.
 std::vector<LongWait> explainLongWaits(const PlanningView &View,
@@ -217,6 +231,7 @@
   std::vector<PlacementWorker> Workers = collectWorkers(View);
   const std::vector<Unit *> Active = View.Table.active();
   const std::vector<PlacedUnit> Placed = collectPlaced(View, Active, Workers);
+  PaceInputs Paces(View, Workers);
   std::vector<WaitingUnit> Waiting;
   std::map<const StepState *, std::size_t> Groups;
   std::map<std::string_view, SpareCapacity> SpareOf;
@@ -227,6 +242,7 @@
     if (Added)
       Spare->second = spareCapacity(Workers, Service);
     boundPreferences(View, *Unit, Spare->second, Waiting.back());
+    Paces.describe(*Unit, Waiting.back());
     const StepState *Step =
         &Unit->ParentJob->Occurrences.at(Unit->Occurrence).Steps[Unit->Step];
     Waiting.back().Group =
@@ -270,9 +286,11 @@
       Result.Reservations.back().Workers.emplace_back(Workers[Worker].Id);
   }
   for (const PlannedStart &Start : Plan.Starts) {
-    UnitPlacement Entry{Units[Start.WaitingIndex], {}};
+    UnitPlacement Entry{Units[Start.WaitingIndex], {}, {}};
     for (const std::size_t Worker : Start.WorkerIndices)
       Entry.Places.push_back(placeOn(View, Workers[Worker].Id));
+    if (Waiting[Start.WaitingIndex].Pace == PacePreference::Fastest)
+      Entry.Detail = describePace(Workers, Start.WorkerIndices);
     Result.Starts.push_back(std::move(Entry));
   }
   for (const PlannedPreemption &Entry : Plan.Preemptions)
@@ -287,7 +305,7 @@
   for (const UnitClaim &Entry : Plan.Claims)
     JobTable::claim(*Entry.Beneficiary, Entry.Claim);
   for (const UnitPlacement &Start : Plan.Starts)
-    Table.place(*Start.Placed, Start.Places, Now);
+    Table.place(*Start.Placed, Start.Places, Now, Start.Detail);
   for (const UnitReservation &Entry : Plan.Reservations)
     Table.reserve(*Entry.Beneficiary, Entry.Workers, Now);
   // Of undecided units it is not known what holds them back.
--- a/src/pistachioflow/entry/planning_inputs.cpp
+++ b/src/pistachioflow/entry/planning_inputs.cpp
@@ -204,6 +204,39 @@
   }
 }
 
+PaceInputs::PaceInputs(const PlanningView &View,
+                       std::span<PlacementWorker> Workers)
+    : View(View) {
+  if (!View.Paces || View.PaceMode == PacePlacement::Off)
+    return;
+  this->Spread = paceSpread(*View.Paces, View.Now);
+  for (PlacementWorker &Worker : Workers) {
+    const std::int64_t Incarnation =
+        View.Workers.find(Worker.Id)->second->IncarnationStartMs;
+    Worker.LogPace = logPace(*View.Paces, Worker.Id, Incarnation, View.Now);
+    Worker.KindsThere = taskKindsOn(View.Table, *View.Paces, Worker.Id);
+  }
+}
+
+void PaceInputs::describe(const Unit &Waiting, WaitingUnit &Entry) {
+  if (!this->View.Paces || this->View.PaceMode == PacePlacement::Off)
+    return;
+  const auto [Decides, NewService] =
+      this->DecidesFor.try_emplace(Entry.Service);
+  if (NewService)
+    Decides->second = paceDecides(this->View.PaceMode, this->View.Desired,
+                                  Entry.Service, this->Spread);
+  if (!Decides->second)
+    return;
+  const bool NeedsPace = Entry.Priority == 0 || Entry.TaskCount > 1;
+  Entry.Pace = NeedsPace ? PacePreference::Fastest : PacePreference::NotFastest;
+  const std::size_t Kind = findKind(*this->View.Paces, taskKindOf(Waiting));
+  const auto [Known, NewKind] = this->Slowdowns.try_emplace(Kind);
+  if (NewKind)
+    Known->second = slowdownsBeside(*this->View.Paces, Kind);
+  Entry.SlowdownsBeside = Known->second;
+}
+
 void boundPreferences(const PlanningView &View, const Unit &Waiting,
                       const SpareCapacity &Spare, WaitingUnit &Entry) {
   const Duration InAll = heldBackInAll(Waiting.HeldBackTime, View.Now);
--- a/src/pistachioflow/entry/planning_inputs.hpp
+++ b/src/pistachioflow/entry/planning_inputs.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstddef>
+#include <map>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "pistachioflow/entry/planning.hpp"
@@ -38,6 +41,23 @@
                               std::span<WaitingUnit> Waiting,
                               std::span<PlacementWorker> Workers);
 
+/// Adds to the inputs of a round what is known of the pace of workers.
+class PaceInputs {
+public:
+  /// Describes the workers.
+  PaceInputs(const PlanningView &View, std::span<PlacementWorker> Workers);
+
+  /// Lets a unit choose by pace where it matters. The result refers to this
+  /// object.
+  void describe(const Unit &Waiting, WaitingUnit &Entry);
+
+private:
+  const PlanningView &View;
+  double Spread = 1;
+  std::map<std::string_view, bool> DecidesFor;          ///< By service.
+  std::map<std::size_t, std::vector<double>> Slowdowns; ///< By kind.
+};
+
 /// Notes whether preferences, and reservations for gangs, have kept a unit from
 /// free workers for long enough. With capacity to spare all of that time
 /// counts; in a full cluster a unit that fitted nowhere for a moment waits
--- a/src/pistachioflow/entry/worker_holds.cpp
+++ b/src/pistachioflow/entry/worker_holds.cpp
@@ -125,6 +125,7 @@
   const std::vector<RunningTask> Unwanted = Term->Table.applyReport(
       Worker->Id, News, SentAt, Now, this->Time.wall().Ms);
   Worker->UnwantedUse = Term->Table.neededBy(Unwanted);
+  this->learnPaces(*Term, *Worker, Now);
   for (const EndedRun &End : News.Ended)
     Worker->Ends.Applied = std::max(Worker->Ends.Applied, End.Number);
   for (const RunningTask &Task : Worker->Unwanted.update(Unwanted, Now)) {
--- a/src/pistachioflow/entryd/main.cpp
+++ b/src/pistachioflow/entryd/main.cpp
@@ -17,6 +17,8 @@
 ABSL_FLAG(std::string, settings, "",
           "settings file; otherwise PISTACHIOFLOW_SETTINGS names it");
 ABSL_FLAG(bool, check, false, "read the settings, report findings, and exit");
+ABSL_FLAG(std::string, placement_pace, "off",
+          "whether placements consider the pace of workers: off, auto or on");
 ABSL_FLAG(bool, verbose, false, "log debug lines too");
 
 namespace {
@@ -59,6 +61,11 @@
               << formatFindings(Settings.error().Details);
     return EXIT_FAILURE;
   }
+  const auto PaceMode = parsePacePlacement(absl::GetFlag(FLAGS_placement_pace));
+  if (!PaceMode) {
+    std::cerr << "--placement_pace: not off, auto or on\n";
+    return EXIT_FAILURE;
+  }
   if (absl::GetFlag(FLAGS_check))
     return EXIT_SUCCESS;
   startBoundedLogging(Settings.value().Instance,
@@ -67,7 +74,7 @@
                       EventLinesPerSecond);
   const SystemClock Time;
   asio::io_context Io(1);
-  Instance Daemon(Io, Time, std::move(Settings.value()), Path);
+  Instance Daemon(Io, Time, std::move(Settings.value()), Path, *PaceMode);
   if (!Daemon.start())
     return EXIT_FAILURE;
   asio::signal_set Signals(Io, SIGTERM, SIGINT, SIGHUP);
--- a/src/pistachioflow/platform/worker_client.cpp
+++ b/src/pistachioflow/platform/worker_client.cpp
@@ -183,7 +183,6 @@
   constexpr auto Unlimited = static_cast<double>(NonNegative.Max);
   Reader.text("version", TextRule::Free, "");
   Reader.number("slots", 0, Unlimited, 0);
-  Reader.number("cold_remaining_ms", -Unlimited, Unlimited, 0);
 }
 
 std::string startBody(const StartOrder &Order) {
@@ -318,6 +317,9 @@
   Reader.integer("sequence", NonNegative);
   Entry.IncarnationStartMs = Reader.integer("born", NonNegative, 0);
   Entry.Labels = readLabels(Document, Problems);
+  constexpr auto Unlimited = static_cast<double>(NonNegative.Max);
+  Entry.ColdRemainingMs =
+      Reader.number("cold_remaining_ms", -Unlimited, Unlimited, 0);
   checkUnusedFields(Reader);
   if (!Problems.empty())
     return Error{ErrorCode::InvalidInput, "invalid entry", std::move(Problems)};
--- a/src/pistachioflow/sched/candidate_workers.cpp
+++ b/src/pistachioflow/sched/candidate_workers.cpp
@@ -1,7 +1,10 @@
 #include "candidate_workers.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace pistachioflow {
@@ -27,6 +30,8 @@
                      const CandidateWorker &Right) {
   if (Left.Avoided != Right.Avoided)
     return !Left.Avoided;
+  if (Left.PaceClass != Right.PaceClass)
+    return Left.PaceClass < Right.PaceClass;
   if (Left.Leftover != Right.Leftover)
     return Left.Leftover < Right.Leftover;
   return Left.LeftoverCores < Right.LeftoverCores;
@@ -47,9 +52,10 @@
     if (Tasks <= 0)
       continue;
     const Resources &PerTask = Unit.Step->TaskResources;
-    Result.push_back(
-        {Index, Tasks, Available.Accelerators - PerTask.Accelerators,
-         Available.MilliCores - PerTask.MilliCores, isAvoided(Worker, Unit)});
+    Result.push_back({Index, Tasks,
+                      Available.Accelerators - PerTask.Accelerators,
+                      Available.MilliCores - PerTask.MilliCores,
+                      isAvoided(Worker, Unit), paceClass(Worker, Unit)});
   }
   return Result;
 }
@@ -93,8 +99,32 @@
   return Chosen;
 }
 
+/// Returns the pace class of the slowest chosen worker.
+int slowestClass(WorkerSpan Workers, const WaitingUnit &Unit,
+                 const WorkerChoice &Chosen) {
+  int Slowest = std::numeric_limits<int>::min();
+  for (const std::size_t Worker : Chosen)
+    Slowest = std::max(Slowest, paceClass(Workers[Worker], Unit));
+  return Slowest;
+}
+
 } // namespace
 
+int paceClass(const PlacementWorker &Worker, const WaitingUnit &Unit) {
+  /// Smaller differences in speed are worth less than a tight fit.
+  constexpr double Step = 0.15;
+  if (Unit.Pace == PacePreference::None)
+    return 0;
+  double Slowdown = 0;
+  for (std::size_t Kind = 0; Kind < Unit.SlowdownsBeside.size(); ++Kind)
+    if ((Worker.KindsThere & bitOfKind(Kind)) != 0)
+      Slowdown += Unit.SlowdownsBeside[Kind];
+  const int Beside = static_cast<int>(std::lround(Slowdown / Step));
+  const int Pace = static_cast<int>(std::lround(Worker.LogPace / Step));
+  return Unit.Pace == PacePreference::Fastest ? Beside - Pace
+                                              : Beside + std::max(Pace, 0);
+}
+
 Resources countedDemand(const StepSpec &Step) {
   Resources PerTask = Step.TaskResources;
   if (Step.FillsIdleCpu)
@@ -184,6 +214,7 @@
   for (const CandidateWorker &Entry : All)
     ByRack[Workers[Entry.Worker].Rack].push_back(Entry);
   std::int64_t LeastFreeTasks = UnlimitedTasks;
+  int BestPace = std::numeric_limits<int>::max();
   for (const std::string_view Rack : Racks) {
     std::vector<CandidateWorker> &Inside = ByRack[Rack];
     const std::int64_t Fitting = countFitting(Inside, Unit.TaskCount);
@@ -192,9 +223,18 @@
     for (const CandidateWorker &Entry : Inside)
       FreeTasks += std::min(Entry.Tasks, MaxCountedTasks) +
                    (Entry.Avoided ? Unit.TaskCount : 0);
-    if (Fitting < Unit.TaskCount || FreeTasks >= LeastFreeTasks)
+    if (Fitting < Unit.TaskCount)
+      continue;
+    const bool ByPace = Unit.Pace != PacePreference::None;
+    if (!ByPace && FreeTasks >= LeastFreeTasks)
+      continue;
+    WorkerChoice Chosen = *fill(std::move(Inside), Unit.TaskCount);
+    const int Pace = slowestClass(Workers, Unit, Chosen);
+    if (ByPace &&
+        std::tie(Pace, FreeTasks) >= std::tie(BestPace, LeastFreeTasks))
       continue;
-    Found.Choice = fill(std::move(Inside), Unit.TaskCount);
+    Found.Choice = std::move(Chosen);
+    BestPace = Pace;
     LeastFreeTasks = FreeTasks;
   }
   return Found;
--- a/src/pistachioflow/sched/candidate_workers.hpp
+++ b/src/pistachioflow/sched/candidate_workers.hpp
@@ -22,6 +22,7 @@
   std::int64_t Leftover = 0; ///< Free accelerators after one task.
   std::int64_t LeftoverCores = 0;
   bool Avoided = false;
+  int PaceClass = 0; ///< See paceClass().
 };
 
 /// Resources that one task of the step takes from a worker's capacity.
@@ -33,6 +34,13 @@
 /// Whether the unit should use the worker only where no other fits.
 bool isAvoided(const PlacementWorker &Worker, const WaitingUnit &Unit);
 
+/// Returns how slowly the worker would run the unit, in steps that are worth a
+/// looser fit; lower is better.
+///
+/// Load pattern: urgent gangs among workers that differ in speed. A gang ends
+/// with its slowest member, so that one slow worker makes all of it late.
+int paceClass(const PlacementWorker &Worker, const WaitingUnit &Unit);
+
 /// How many more tasks the step's limit allows on a worker.
 std::int64_t spreadLimit(const PlacementWorker &Worker,
                          const WaitingUnit &Unit);
@@ -57,7 +65,8 @@
 };
 
 /// Looks for workers by one of their free amounts. Of several possible racks,
-/// prefers the one with room for the fewest of these tasks.
+/// prefers the one whose slowest chosen worker is fastest, then the one with
+/// room for the fewest of these tasks.
 WorkerSearch searchWorkers(std::span<const PlacementWorker> Workers,
                            const WaitingUnit &Unit,
                            std::span<const std::string_view> Racks,
--- a/src/pistachioflow/sched/job_table.cpp
+++ b/src/pistachioflow/sched/job_table.cpp
@@ -246,10 +246,11 @@
 }
 
 void JobTable::place(Unit &Unit, std::span<const PlaceRecord> Places,
-                     Instant Now) {
+                     Instant Now, std::string Detail) {
   this->endClaim(Unit, Places, Now, "other_workers");
   ++Unit.Run;
   Unit.FullyStarted = false;
+  Unit.FromScratch = Unit.Checkpoint.empty();
   Unit.FirstMemberEndedAt = {};
   Unit.ReservedWorkers.clear();
   pauseHeldBack(Unit.HeldBackTime, Now);
@@ -264,7 +265,7 @@
   for (const PlaceRecord &Place : Places)
     Workers += (Workers.empty() ? "" : ",") + Place.Worker;
   this->recordEvent(TableEvent::Kind::Placed, Unit.name(), std::move(Workers),
-                    Unit.Run, {}, (Now - Unit.ReadySince).Ms);
+                    Unit.Run, std::move(Detail), (Now - Unit.ReadySince).Ms);
 }
 
 void JobTable::registerMembers(Unit &Unit) {
--- /dev/null
+++ b/src/pistachioflow/sched/worker_pace.cpp
@@ -0,0 +1,208 @@
+#include "pistachioflow/sched/worker_pace.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <span>
+
+namespace pistachioflow {
+
+namespace {
+
+/// Paces change as other work comes and goes.
+constexpr Duration PaceHalfLife{30'000};
+/// Kinds of work keep their effects on each other for longer.
+constexpr Duration KindHalfLife{120'000};
+/// Steps rarely take longer between two samples.
+constexpr Duration StepLifetime{60'000};
+/// Weight of the assumption that a worker is like the others.
+constexpr double PacePrior = 0.5;
+/// Weight of the assumption that kinds of work do not affect each other.
+constexpr double KindPrior = 10;
+/// Below this weight nothing is concluded about kinds of work.
+constexpr double MinKindWeight = 10;
+/// Smaller effects are not told from chance.
+constexpr double MinSlowdown = 0.1;
+constexpr std::size_t MinSiblings = 3;
+constexpr std::size_t MaxSamplesPerStep = 128;
+constexpr std::size_t MaxSteps = 2'048;
+/// Larger differences are faults of workers or of tasks.
+constexpr double MaxDeviation = 1.5;
+/// \name Of a spread
+/// @{
+constexpr double MinSpreadWeight = 1;
+constexpr std::size_t MinSpreadWorkers = 20;
+constexpr std::size_t SlowestPart = 10;
+/// @}
+
+double decayFactor(Duration Age, Duration HalfLife) {
+  const double HalfLives = static_cast<double>(std::max(Age, Duration{}).Ms) /
+                           static_cast<double>(HalfLife.Ms);
+  return std::exp2(-HalfLives);
+}
+
+void decay(DecayingMean &Mean, Duration HalfLife, Instant Now) {
+  const double Factor = decayFactor(Now - Mean.At, HalfLife);
+  Mean.Sum *= Factor;
+  Mean.Weight *= Factor;
+  Mean.At = std::max(Mean.At, Now);
+}
+
+void add(DecayingMean &Mean, double Value, double Weight, Duration HalfLife,
+         Instant Now) {
+  decay(Mean, HalfLife, Now);
+  Mean.Sum += Value * Weight;
+  Mean.Weight += Weight;
+}
+
+double medianOf(std::vector<double> &Values) {
+  const auto Middle =
+      Values.begin() + static_cast<std::ptrdiff_t>(Values.size() / 2);
+  std::ranges::nth_element(Values, Middle);
+  return *Middle;
+}
+
+/// Returns the speed that a worker of average pace would show in a step.
+double typicalSpeed(const PaceModel &Model,
+                    std::span<const PaceModel::StepSample> Samples,
+                    Instant Now) {
+  std::vector<double> Adjusted;
+  Adjusted.reserve(Samples.size());
+  for (const PaceModel::StepSample &Sample : Samples)
+    Adjusted.push_back(Sample.LogSpeed - logPace(Model, Sample.Worker,
+                                                 Sample.IncarnationStartMs,
+                                                 Now));
+  return medianOf(Adjusted);
+}
+
+/// Learns how a kind fares beside others from what a worker's pace leaves
+/// unexplained.
+void learnResidual(PaceModel &Model, const PaceModel::StepSample &Sample,
+                   double Residual, Instant Now) {
+  if (Sample.Kind >= MaxTaskKinds)
+    return;
+  PaceModel::KindResiduals &Residuals = Model.Residuals[Sample.Kind];
+  if (Sample.Beside == 0)
+    add(Residuals.Alone, Residual, 1, KindHalfLife, Now);
+  for (std::size_t Other = 0; Other < Model.Kinds.size(); ++Other)
+    if ((Sample.Beside & bitOfKind(Other)) != 0)
+      add(Residuals.Beside[Other], Residual, 1, KindHalfLife, Now);
+}
+
+/// Learns a worker's pace from sample \p Index of a step.
+void learnPace(PaceModel &Model, const PaceModel::StepSpeeds &Step,
+               std::size_t Index, Instant Now) {
+  const PaceModel::StepSample &Sample = Step.Samples[Index];
+  const double Deviation =
+      std::clamp(Sample.LogSpeed - typicalSpeed(Model, Step.Samples, Now),
+                 -MaxDeviation, MaxDeviation);
+  const double Known =
+      logPace(Model, Sample.Worker, Sample.IncarnationStartMs, Now);
+  learnResidual(Model, Sample, Deviation - Known, Now);
+  PaceModel::WorkerPace &Pace = Model.Workers[Sample.Worker];
+  if (Pace.IncarnationStartMs != Sample.IncarnationStartMs)
+    Pace = {Sample.IncarnationStartMs, {}};
+  // Runs of one step on one worker tell the same.
+  const auto Same = std::ranges::count(Step.Samples, Sample.Worker,
+                                       &PaceModel::StepSample::Worker);
+  add(Pace.LogPace, Deviation, 1.0 / static_cast<double>(Same), PaceHalfLife,
+      Now);
+}
+
+double slowdown(const PaceModel &Model, std::size_t Kind, std::size_t Other) {
+  const auto Known = Model.Residuals.find(Kind);
+  if (Known == Model.Residuals.end())
+    return 0;
+  const auto Beside = Known->second.Beside.find(Other);
+  const DecayingMean &Alone = Known->second.Alone;
+  if (Beside == Known->second.Beside.end() || Alone.Weight < MinKindWeight ||
+      Beside->second.Weight < MinKindWeight)
+    return 0;
+  const double Slower = Alone.mean(KindPrior) - Beside->second.mean(KindPrior);
+  return Slower < MinSlowdown ? 0 : Slower;
+}
+
+} // namespace
+
+std::size_t findKind(const PaceModel &Model, std::string_view Kind) {
+  const auto Known = std::ranges::find(Model.Kinds, Kind);
+  return Known == Model.Kinds.end()
+             ? MaxTaskKinds
+             : static_cast<std::size_t>(Known - Model.Kinds.begin());
+}
+
+std::size_t indexOfKind(PaceModel &Model, std::string_view Kind) {
+  const std::size_t Known = findKind(Model, Kind);
+  if (Known != MaxTaskKinds || Model.Kinds.size() == MaxTaskKinds)
+    return Known;
+  Model.Kinds.emplace_back(Kind);
+  return Model.Kinds.size() - 1;
+}
+
+TaskKinds bitOfKind(std::size_t Kind) {
+  return Kind < MaxTaskKinds ? TaskKinds{1} << Kind : 0;
+}
+
+void learnSpeed(PaceModel &Model, const SpeedSample &Sample, Instant Now) {
+  if (Model.Steps.size() >= MaxSteps && !Model.Steps.contains(Sample.Step))
+    return;
+  PaceModel::StepSpeeds &Step = Model.Steps[std::string(Sample.Step)];
+  if (Step.Samples.size() >= MaxSamplesPerStep)
+    Step.Samples.erase(Step.Samples.begin());
+  Step.LatestAt = Now;
+  Step.Samples.push_back({std::string(Sample.Worker), Sample.IncarnationStartMs,
+                          indexOfKind(Model, Sample.Kind), Sample.Beside,
+                          Sample.LogSpeed});
+  const std::size_t Count = Step.Samples.size();
+  if (Count < MinSiblings)
+    return;
+  const std::size_t First = Count == MinSiblings ? 0 : Count - 1;
+  for (std::size_t Index = First; Index < Count; ++Index)
+    learnPace(Model, Step, Index, Now);
+}
+
+void forgetOldSpeeds(PaceModel &Model, Instant Now) {
+  constexpr double MinWeight = 0.02;
+  std::erase_if(Model.Steps, [Now](const auto &Entry) {
+    return Now - Entry.second.LatestAt > StepLifetime;
+  });
+  std::erase_if(Model.Workers, [Now](const auto &Entry) {
+    const DecayingMean &Pace = Entry.second.LogPace;
+    return Pace.Weight * decayFactor(Now - Pace.At, PaceHalfLife) < MinWeight;
+  });
+}
+
+double logPace(const PaceModel &Model, std::string_view Worker,
+               std::int64_t IncarnationStartMs, Instant Now) {
+  const auto Known = Model.Workers.find(Worker);
+  if (Known == Model.Workers.end() ||
+      Known->second.IncarnationStartMs != IncarnationStartMs)
+    return 0;
+  DecayingMean Pace = Known->second.LogPace;
+  decay(Pace, PaceHalfLife, Now);
+  return Pace.mean(PacePrior);
+}
+
+std::vector<double> slowdownsBeside(const PaceModel &Model, std::size_t Kind) {
+  std::vector<double> Slowdowns(Model.Kinds.size(), 0);
+  for (std::size_t Other = 0; Other < Slowdowns.size(); ++Other)
+    if (Other != Kind)
+      Slowdowns[Other] =
+          slowdown(Model, Kind, Other) + slowdown(Model, Other, Kind);
+  return Slowdowns;
+}
+
+double paceSpread(const PaceModel &Model, Instant Now) {
+  std::vector<double> Paces;
+  for (const auto &[Id, Worker] : Model.Workers) {
+    DecayingMean Pace = Worker.LogPace;
+    decay(Pace, PaceHalfLife, Now);
+    if (Pace.Weight >= MinSpreadWeight)
+      Paces.push_back(Pace.mean(0));
+  }
+  if (Paces.size() < MinSpreadWorkers)
+    return 1;
+  std::ranges::sort(Paces);
+  return std::exp(Paces[Paces.size() / 2] - Paces[Paces.size() / SlowestPart]);
+}
+
+} // namespace pistachioflow
