--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -113,11 +113,15 @@
   target_precompile_headers(platform_path_tests PRIVATE <catch2/catch.hpp>)
   add_dependencies(platform_path_tests pistachio-entryd)
   # Three runs beside each other, each far from the time limit.
-  add_test(NAME platform_path COMMAND platform_path_tests "~[slow]~[late]")
+  add_test(NAME platform_path
+    COMMAND platform_path_tests "~[slow]~[late]~[memory]")
   add_test(NAME platform_path_slow COMMAND platform_path_tests "[slow]")
   add_test(NAME platform_path_late COMMAND platform_path_tests "[late]")
+  # Measures the memory of a daemon under load, so nothing runs beside it.
+  add_test(NAME platform_path_memory COMMAND platform_path_tests "[memory]")
+  set_tests_properties(platform_path_memory PROPERTIES RUN_SERIAL TRUE)
   set_tests_properties(platform_path platform_path_slow platform_path_late
-    PROPERTIES TIMEOUT ${PISTACHIOFLOW_TEST_TIMEOUT_S})
+    platform_path_memory PROPERTIES TIMEOUT ${PISTACHIOFLOW_TEST_TIMEOUT_S})
   add_executable(pistachio-soak ${CMAKE_SOURCE_DIR}/tests/soak/main.cpp)
   pistachioflow_target_defaults(pistachio-soak)
   target_link_libraries(pistachio-soak PRIVATE pf_fleet)
--- a/tests/platform/fleet.cpp
+++ b/tests/platform/fleet.cpp
@@ -134,6 +134,9 @@
                      {"record_bytes", this->MaxRecordBytes},
                      {"request_bytes", this->MaxAppendBytes}}},
                    {"bounds", {{"max_hold_ms", 6'000}, {"grace_period_s", 6}}}};
+  if (this->MemoryMb > 0)
+    Settings["limits"] = {{"memory_mb", this->MemoryMb},
+                          {"file_descriptors", this->FileDescriptors}};
   if (this->EvacuationTimeout.Ms > 0)
     Settings["bounds"]["evacuation_ms"] = this->EvacuationTimeout.Ms;
   for (const std::string &Domain : this->Domains)
@@ -149,6 +152,13 @@
     this->writeSettings(*Member);
 }
 
+void Fleet::limitMachine(std::int64_t Memory, std::int64_t Descriptors) {
+  this->MemoryMb = Memory;
+  this->FileDescriptors = Descriptors;
+  for (const auto &Member : this->Members)
+    this->writeSettings(*Member);
+}
+
 void Fleet::allowEvacuations(Duration Timeout, std::vector<std::string> Names) {
   this->EvacuationTimeout = Timeout;
   this->Domains = std::move(Names);
--- a/tests/platform/fleet.hpp
+++ b/tests/platform/fleet.hpp
@@ -82,6 +82,10 @@
   /// Lets operators evacuate one of \p Domains within \p Timeout, before run().
   void allowEvacuations(Duration Timeout, std::vector<std::string> Domains);
 
+  /// Names the memory and the descriptors of a machine in the settings, before
+  /// run().
+  void limitMachine(std::int64_t MemoryMb, std::int64_t FileDescriptors);
+
   /// Sets how many bytes one record may have, before run().
   void limitRecords(std::int64_t Bytes);
 
@@ -131,6 +135,8 @@
   std::string Folder;
   std::int64_t MaxAppendBytes = 2'097'152;
   std::int64_t MaxRecordBytes = 262'144;
+  std::int64_t MemoryMb = 0; ///< 0: the settings name no machine.
+  std::int64_t FileDescriptors = 0;
   Duration EvacuationTimeout; ///< 0: the settings name none.
   std::vector<std::string> Domains;
   std::vector<std::string> Violations;
