Bound the memory and the connections of clients

Cause: limits held for one connection, a head was counted by the characters of its fields and not by what they take, trailers were kept, an announced body was refused only once its bytes came, and writing a response had no timeout.

Change: the connections of all servers share a quarter of the memory that the settings name, those to the store and the workers another one; beyond it, the connection that holds most for each call that it has finished is closed. Callers get half of the descriptors; beyond that the connection that has finished no request for longest gives way. Separators and empty lines count towards the head, trailers are dropped, announced bodies above the limit get 413 at once, large heads 431. Writing a response takes 10 s at most. Settings without limits behave as before but for the counting.

--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -45,6 +45,7 @@
   Dispatcher(asio::io_context &Io, StoreClient &Store, const Clock &Time,
              const InstanceSettings &Settings, const DesiredState &Desired,
              EvacuationSource Evacuations,
+             std::shared_ptr<MemoryBudget> WorkerMemory,
              std::function<void(std::string_view Reason)> OnFenced);
   ~Dispatcher();
 
@@ -120,6 +121,7 @@
   const InstanceSettings &Settings;
   const DesiredState &Desired;
   EvacuationSource Evacuations;
+  std::shared_ptr<MemoryBudget> WorkerMemory; ///< For the answers of workers.
   std::function<void(std::string_view Reason)> OnFenced;
   TermPtr CurrentTerm;
   DurationModel Durations;
--- a/include/pistachioflow/entry/metrics.hpp
+++ b/include/pistachioflow/entry/metrics.hpp
@@ -41,6 +41,9 @@
   Gauge &OwnerEpoch = Registry.gauge("owner_epoch");
   Gauge &DesiredVersion = Registry.gauge("desired_state_version");
   Gauge &DomainsEvacuated = Registry.gauge("domains_evacuated");
+  Gauge &CallerMemory = Registry.gauge("caller_connection_bytes");
+  Gauge &ClosedForMemory = Registry.gauge("connections_closed_for_memory");
+  Gauge &ClosedForRoom = Registry.gauge("connections_closed_for_room");
   Gauge &LogLinesDropped = Registry.gauge("log_lines_dropped");
   LatencyHistogram &SubmitMs = Registry.latency("submit_ms");
   LatencyHistogram &AppendMs = Registry.latency("store_append_ms");
--- a/include/pistachioflow/net/http_client.hpp
+++ b/include/pistachioflow/net/http_client.hpp
@@ -10,6 +10,7 @@
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/net/http_message.hpp"
+#include "pistachioflow/net/memory_budget.hpp"
 
 namespace pistachioflow {
 
@@ -32,7 +33,9 @@
 /// client must outlive its calls.
 class HttpClient {
 public:
-  HttpClient(asio::io_context &Io, const asio::ip::tcp::endpoint &Peer);
+  /// Connections share \p Budget; without one their memory is not limited.
+  HttpClient(asio::io_context &Io, const asio::ip::tcp::endpoint &Peer,
+             std::shared_ptr<MemoryBudget> Budget = nullptr);
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
@@ -52,6 +55,7 @@
   asio::io_context &Io;
   asio::ip::tcp::endpoint Peer;
   std::string PeerName;
+  std::shared_ptr<MemoryBudget> Budget;
   std::vector<std::shared_ptr<Connection>> IdleConnections;
 };
 
--- a/include/pistachioflow/net/http_server.hpp
+++ b/include/pistachioflow/net/http_server.hpp
@@ -11,6 +11,7 @@
 
 #include "pistachioflow/base/clock.hpp"
 #include "pistachioflow/net/http_message.hpp"
+#include "pistachioflow/net/memory_budget.hpp"
 
 namespace pistachioflow {
 
@@ -23,9 +24,11 @@
 struct HttpServerLimits {
   std::size_t MaxHeaderBytes = 16U << 10U;
   std::size_t MaxBodyBytes = 256U << 10U;
-  Duration RequestTimeout = {3'000};  ///< From first byte to last of a request.
-  Duration IdleTimeout = {15'000};    ///< Between requests of a connection.
-  std::size_t MaxConnections = 3'000; ///< More are closed on accept.
+  Duration RequestTimeout = {3'000}; ///< From first byte to last of a request.
+  Duration IdleTimeout = {15'000};   ///< Between requests of a connection.
+  Duration ResponseTimeout = {10'000}; ///< To write a response.
+  /// With more, the one that has finished no request for longest is closed.
+  std::size_t MaxConnections = 3'000;
 };
 
 /// An HTTP/1.1 server on an io_context.
@@ -34,7 +37,9 @@
 /// server must outlive the io_context's run.
 class HttpServer {
 public:
-  HttpServer(asio::io_context &Io, HttpHandler Handler);
+  /// Connections share \p Budget; without one their memory is not limited.
+  HttpServer(asio::io_context &Io, HttpHandler Handler,
+             std::shared_ptr<MemoryBudget> Budget = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -57,6 +62,8 @@
 
   /// Returns the number of requests being handled or answered.
   std::size_t inProgress() const { return this->ActiveRequests; }
+  /// Returns how many connections were closed to make room for others.
+  std::size_t closedForRoom() const { return this->ClosedForRoom; }
   /// Returns the port that it listens on, for use after listening on port 0.
   unsigned short port() const;
 
@@ -67,14 +74,21 @@
   asio::awaitable<void> serve(std::shared_ptr<Session> Client);
   asio::awaitable<bool> readRequest(std::shared_ptr<Session> Owner,
                                     HttpRequest &Request);
-  asio::awaitable<bool> respond(Session &Client, HttpRequest Request);
+  asio::awaitable<bool> respond(std::shared_ptr<Session> Owner,
+                                HttpRequest Request);
+  asio::awaitable<bool> refuse(std::shared_ptr<Session> Owner, int Status);
+  asio::awaitable<bool> write(std::shared_ptr<Session> Owner,
+                              HttpResponse Response, bool KeepAlive);
+  bool makeRoom();
 
   asio::io_context &Io;
   HttpHandler Handler;
   HttpServerLimits Limits;
   asio::ip::tcp::acceptor Acceptor;
+  std::shared_ptr<MemoryBudget> Budget;
   std::set<Session *> Sessions;
   std::size_t ActiveRequests = 0;
+  std::size_t ClosedForRoom = 0;
   bool Draining = false;
 };
 
--- a/include/pistachioflow/platform/instance_settings.hpp
+++ b/include/pistachioflow/platform/instance_settings.hpp
@@ -25,7 +25,12 @@
   std::string MetricsAddress; ///< Own IP, first port of the internal range.
   std::string StoreAddress;
   std::int64_t MilliCores = 1'000; ///< Processor share of the instance.
-  std::string AdviceAddress;       ///< Empty if no queue needs advice.
+  /// \name Limits of the process; 0: not known
+  /// @{
+  std::int64_t MemoryMb = 0;
+  std::int64_t FileDescriptors = 0;
+  /// @}
+  std::string AdviceAddress; ///< Empty if no queue needs advice.
   Duration WorkerHeartbeat{1'500};
   Duration MaxLease{6'000};          ///< Longest lease that a worker grants.
   Duration StopTimeout{900};         ///< A worker ends a stopped run within it.
--- a/include/pistachioflow/platform/store_client.hpp
+++ b/include/pistachioflow/platform/store_client.hpp
@@ -78,7 +78,9 @@
 /// Client of the platform's store. Thread safety: as HttpClient.
 class StoreClient {
 public:
-  StoreClient(asio::io_context &Io, std::string_view Address);
+  /// \p Budget as for HttpClient.
+  StoreClient(asio::io_context &Io, std::string_view Address,
+              std::shared_ptr<MemoryBudget> Budget = nullptr);
 
   /// Appends \p Records to \p Topic atomically. With \p ExpectedEnd, only if
   /// the topic ends at that offset.
--- a/include/pistachioflow/platform/worker_client.hpp
+++ b/include/pistachioflow/platform/worker_client.hpp
@@ -72,8 +72,10 @@
 /// Sends orders and polls to one worker. Thread safety: as HttpClient.
 class WorkerClient {
 public:
+  /// \p Budget as for HttpClient.
   WorkerClient(asio::io_context &Io, std::string WorkerId,
-               std::string_view Address);
+               std::string_view Address,
+               std::shared_ptr<MemoryBudget> Budget = nullptr);
 
   asio::awaitable<OrderAnswer> start(StartOrder Order, Duration Timeout);
   asio::awaitable<OrderAnswer> stop(std::string Task, std::int64_t Run,
--- a/src/pistachioflow/entry/caller_api.cpp
+++ b/src/pistachioflow/entry/caller_api.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "pistachioflow/base/log.hpp"
+#include "pistachioflow/codec/json_reader.hpp"
 #include "pistachioflow/entry/metrics.hpp"
 #include "pistachioflow/platform/job_codec.hpp"
 
@@ -95,7 +96,8 @@
   HttpResponse Refused = this->filter(Request, Target);
   if (Refused.Status != 0) {
     entryMetrics().CallsFiltered.add();
-    logCall("call_refused", Request.Target, Refused.Status, "filter", {});
+    logCall("call_refused", shortened(Request.Target), Refused.Status, "filter",
+            {});
     co_return Refused;
   }
   if (Target.JobId.empty())
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -99,9 +99,11 @@
                        const Clock &Time, const InstanceSettings &Settings,
                        const DesiredState &Desired,
                        EvacuationSource Evacuations,
+                       std::shared_ptr<MemoryBudget> WorkerMemory,
                        std::function<void(std::string_view Reason)> OnFenced)
     : Io(Io), Store(Store), Time(Time), Settings(Settings), Desired(Desired),
-      Evacuations(std::move(Evacuations)), OnFenced(std::move(OnFenced)),
+      Evacuations(std::move(Evacuations)),
+      WorkerMemory(std::move(WorkerMemory)), OnFenced(std::move(OnFenced)),
       RoundTimer(Io) {}
 
 Dispatcher::~Dispatcher() = default;
--- a/src/pistachioflow/entry/instance.cpp
+++ b/src/pistachioflow/entry/instance.cpp
@@ -5,6 +5,7 @@
 
 #include "pistachioflow/base/log.hpp"
 #include "pistachioflow/entry/caller_api.hpp"
+#include "pistachioflow/entry/connection_limits.hpp"
 #include "pistachioflow/entry/dispatcher.hpp"
 #include "pistachioflow/entry/metrics.hpp"
 #include "pistachioflow/entry/ownership.hpp"
@@ -30,6 +31,8 @@
 /// second and removes an instance after two failed checks.
 constexpr Duration BalancerRemovalTime{2'500};
 constexpr Duration ShutdownPollInterval{20};
+/// Connections of the balancer's checks, and of those who read metrics.
+constexpr std::size_t MaxCheckConnections = 32;
 /// Part of the grace period that requests in progress may use.
 constexpr std::int64_t RequestGracePercent = 80;
 constexpr std::int64_t WholePercent = 100;
@@ -46,6 +49,7 @@
   void replaceOperatorRecords(const TopicRecords &Records);
   void applyOperatorRecord(const JournalRecord &Record);
   void applyDesired(const JournalRecord &Record);
+  void limitServers();
   void noteEvacuation(std::string_view Domain, bool Began);
   bool evacuationsKnown() const;
   void replaceJournal(const TopicRecords &Records);
@@ -62,6 +66,9 @@
   DesiredState Desired;
   EvacuatedDomains Evacuated;
   JobStatusTable JobStatuses;
+  ConnectionLimits Limits;
+  std::shared_ptr<MemoryBudget> CallerMemory;
+  std::shared_ptr<MemoryBudget> PeerMemory;
   StoreClient Store;
   TopicFollower OperatorFollower;
   TopicFollower Journal;
@@ -81,7 +88,10 @@
     : Io(Io), Time(Time), Settings(std::move(InitialSettings)),
       SettingsPath(std::move(Path)),
       Name(this->Settings.Instance + "/" + std::to_string(Time.wall().Ms)),
-      Store(Io, this->Settings.StoreAddress),
+      Limits(connectionLimits(this->Settings)),
+      CallerMemory(std::make_shared<MemoryBudget>(this->Limits.CallerBytes)),
+      PeerMemory(std::make_shared<MemoryBudget>(this->Limits.PeerBytes)),
+      Store(Io, this->Settings.StoreAddress, this->PeerMemory),
       OperatorFollower(Io, Store, Time, std::string(OperatorTopic),
                        {[this](const TopicRecords &Records) {
                           this->replaceOperatorRecords(Records);
@@ -106,6 +116,7 @@
       QueueDispatcher(
           Io, Store, Time, this->Settings, this->Desired,
           {this->Evacuated, [this] { return this->evacuationsKnown(); }},
+          this->PeerMemory,
           [this](std::string_view Reason) {
             this->QueueOwnership.lose(Reason);
           }),
@@ -132,14 +143,42 @@
           [this] {
             return coversAll(this->Evacuated, this->Settings.KnownDomains);
           }),
-      CallerServer(Io,
-                   [this](HttpRequest Request) {
-                     return this->Api.handle(std::move(Request));
-                   }),
-      ReadyServer(Io, [this](const HttpRequest &) { return this->ready(); }),
-      MetricsServer(Io, [this](HttpRequest Request) {
-        return this->metrics(std::move(Request));
-      }) {}
+      CallerServer(
+          Io,
+          [this](HttpRequest Request) {
+            return this->Api.handle(std::move(Request));
+          },
+          this->CallerMemory),
+      ReadyServer(
+          Io, [this](const HttpRequest &) { return this->ready(); },
+          this->CallerMemory),
+      MetricsServer(
+          Io,
+          [this](HttpRequest Request) {
+            return this->metrics(std::move(Request));
+          },
+          this->CallerMemory) {
+  this->limitServers();
+}
+
+/// Applies the limits of the machine and of the configuration.
+void Instance::Components::limitServers() {
+  HttpServerLimits Callers;
+  Callers.MaxHeaderBytes =
+      static_cast<std::size_t>(this->Desired.MaxHeaderBytes);
+  Callers.MaxBodyBytes = static_cast<std::size_t>(this->Desired.MaxBodyBytes);
+  Callers.RequestTimeout = {this->Desired.HeaderTimeoutMs};
+  Callers.IdleTimeout = {this->Desired.IdleTimeoutMs};
+  if (this->Limits.MaxCallers > 0)
+    Callers.MaxConnections =
+        std::min(Callers.MaxConnections, this->Limits.MaxCallers);
+  this->CallerServer.setLimits(Callers);
+  HttpServerLimits Checks;
+  Checks.MaxBodyBytes = 0;
+  Checks.MaxConnections = MaxCheckConnections;
+  this->ReadyServer.setLimits(Checks);
+  this->MetricsServer.setLimits(Checks);
+}
 
 bool Instance::Components::journalReadable() const {
   return this->Journal.caughtUp() &&
@@ -160,6 +199,13 @@
   if (Response.Status == 200) {
     entryMetrics().LogLinesDropped.set(
         static_cast<std::int64_t>(droppedLogLines()));
+    entryMetrics().CallerMemory.set(
+        static_cast<std::int64_t>(this->CallerMemory->held()));
+    entryMetrics().ClosedForMemory.set(
+        static_cast<std::int64_t>(this->CallerMemory->closedConnections() +
+                                  this->PeerMemory->closedConnections()));
+    entryMetrics().ClosedForRoom.set(
+        static_cast<std::int64_t>(this->CallerServer.closedForRoom()));
     Response.Body = entryMetrics().Registry.print();
   }
   co_return Response;
@@ -223,13 +269,7 @@
   if (Decoded.value().Version <= this->Desired.Version)
     return;
   this->Desired = std::move(Decoded.value());
-  HttpServerLimits Limits;
-  Limits.MaxHeaderBytes =
-      static_cast<std::size_t>(this->Desired.MaxHeaderBytes);
-  Limits.MaxBodyBytes = static_cast<std::size_t>(this->Desired.MaxBodyBytes);
-  Limits.RequestTimeout = {this->Desired.HeaderTimeoutMs};
-  Limits.IdleTimeout = {this->Desired.IdleTimeoutMs};
-  this->CallerServer.setLimits(Limits);
+  this->limitServers();
   entryMetrics().DesiredVersion.set(this->Desired.Version);
   logEvent(LogLevel::Info, "desired_state",
            {{"version", this->Desired.Version},
@@ -302,8 +342,15 @@
 
 bool Instance::start() {
   Components &Parts = *this->Impl;
-  logEvent(LogLevel::Info, "started",
-           {{"name", Parts.Name}, {"domain", Parts.Settings.FailureDomain}});
+  logEvent(
+      LogLevel::Info, "started",
+      {{"name", Parts.Name},
+       {"domain", Parts.Settings.FailureDomain},
+       {"memory_mb", Parts.Settings.MemoryMb},
+       {"file_descriptors", Parts.Settings.FileDescriptors},
+       {"caller_memory_bytes",
+        static_cast<std::int64_t>(Parts.Limits.CallerBytes)},
+       {"max_callers", static_cast<std::int64_t>(Parts.Limits.MaxCallers)}});
   const bool Listening =
       Parts.CallerServer.listen(parseEndpoint(Parts.Settings.CallerAddress)) &&
       Parts.ReadyServer.listen(parseEndpoint(Parts.Settings.ReadyAddress));
--- a/src/pistachioflow/entry/worker_list.cpp
+++ b/src/pistachioflow/entry/worker_list.cpp
@@ -116,8 +116,8 @@
   const bool NewAddress =
       !Worker->Client || Worker->Entry.Address != Entry.Address;
   if (NewAddress)
-    Worker->Client =
-        std::make_shared<WorkerClient>(this->Io, Id, Entry.Address);
+    Worker->Client = std::make_shared<WorkerClient>(this->Io, Id, Entry.Address,
+                                                    this->WorkerMemory);
   const bool Restarted = Worker->Listed && Entry.IncarnationStartMs > 0 &&
                          Entry.IncarnationStartMs != Worker->IncarnationStartMs;
   if (NewAddress || Restarted)
--- a/src/pistachioflow/net/http_client.cpp
+++ b/src/pistachioflow/net/http_client.cpp
@@ -28,20 +28,26 @@
 } // namespace
 
 struct HttpClient::Connection {
-  explicit Connection(asio::io_context &Io)
+  Connection(asio::io_context &Io, std::shared_ptr<MemoryBudget> Budget)
       : Socket(Io), TimeoutTimer(Io),
-        Parser(HTTP_RESPONSE, MaxResponseBytes, MaxHeaderBytes) {}
+        Parser(HTTP_RESPONSE, MaxResponseBytes, MaxHeaderBytes),
+        Memory(std::move(Budget), [this] {
+          asio::error_code Ignored;
+          this->Socket.close(Ignored);
+        }) {}
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer TimeoutTimer;
   MessageParser Parser;
+  MemoryBudget::Share Memory;
 };
 
 HttpClient::HttpClient(asio::io_context &Io,
-                       const asio::ip::tcp::endpoint &Peer)
+                       const asio::ip::tcp::endpoint &Peer,
+                       std::shared_ptr<MemoryBudget> Shared)
     : Io(Io), Peer(Peer),
-      PeerName(Peer.address().to_string() + ":" + std::to_string(Peer.port())) {
-}
+      PeerName(Peer.address().to_string() + ":" + std::to_string(Peer.port())),
+      Budget(Shared ? std::move(Shared) : std::make_shared<MemoryBudget>()) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -80,8 +86,11 @@
     std::size_t Consumed = 0;
     const auto State =
         Channel.Parser.feed(std::string_view(Chunk.data(), Size), Consumed);
+    Channel.Memory.hold(Channel.Parser.heldBytes());
     if (State == MessageParser::State::Complete) {
       Response = Channel.Parser.releaseResponse();
+      Channel.Memory.hold(0);
+      Channel.Memory.finishCall();
       co_return true;
     }
     if (State != MessageParser::State::NeedsMore)
@@ -95,7 +104,7 @@
   std::shared_ptr<Connection> Channel = this->takeIdle();
   const bool NewConnection = !Channel;
   if (NewConnection)
-    Channel = std::make_shared<Connection>(this->Io);
+    Channel = std::make_shared<Connection>(this->Io, this->Budget);
   Channel->TimeoutTimer.expires_after(std::chrono::milliseconds(Timeout.Ms));
   Channel->TimeoutTimer.async_wait([Channel](asio::error_code Cancelled) {
     asio::error_code Ignored;
--- a/src/pistachioflow/net/http_message.cpp
+++ b/src/pistachioflow/net/http_message.cpp
@@ -55,6 +55,8 @@
     return "Gone";
   case 413:
     return "Payload Too Large";
+  case 431:
+    return "Request Header Fields Too Large";
   case 429:
     return "Too Many Requests";
   case 503:
--- a/src/pistachioflow/net/http_server.cpp
+++ b/src/pistachioflow/net/http_server.cpp
@@ -25,24 +25,70 @@
 /// descriptors are exhausted.
 constexpr int AcceptRetryMs = 20;
 
+/// About what an idle connection takes: its session, coroutines, a buffer and
+/// what the allocator adds.
+constexpr std::size_t IdleConnectionBytes = 8U << 10U;
+
 using SteadyClock = std::chrono::steady_clock;
 
+int refusalStatus(MessageParser::State State) {
+  switch (State) {
+  case MessageParser::State::HeadTooLarge:
+    return 431;
+  case MessageParser::State::BodyTooLarge:
+    return 413;
+  default:
+    return 400;
+  }
+}
+
 } // namespace
 
 struct HttpServer::Session {
-  Session(asio::ip::tcp::socket Accepted, const HttpServerLimits &Limits)
+  Session(asio::ip::tcp::socket Accepted, const HttpServerLimits &Limits,
+          std::shared_ptr<MemoryBudget> Budget)
       : Socket(std::move(Accepted)), TimeoutTimer(Socket.get_executor()),
-        Parser(HTTP_REQUEST, Limits.MaxBodyBytes, Limits.MaxHeaderBytes) {}
+        Parser(HTTP_REQUEST, Limits.MaxBodyBytes, Limits.MaxHeaderBytes),
+        Memory(std::move(Budget), [this] { this->close(); }) {}
+
+  void close() {
+    asio::error_code Ignored;
+    this->Socket.close(Ignored);
+  }
+
+  /// Reports the memory that the connection takes.
+  void countMemory() {
+    this->Memory.hold(IdleConnectionBytes + this->Unread.capacity() +
+                      this->Parser.heldBytes());
+  }
+
+  void setBusy(bool Value) {
+    this->Busy = Value;
+    this->Memory.setBusy(Value);
+  }
+
+  /// Closes the connection unless the timer is cancelled before.
+  static void closeOnTimeout(const std::shared_ptr<Session> &Owner) {
+    Owner->TimeoutTimer.async_wait([Owner](asio::error_code Cancelled) {
+      if (!Cancelled)
+        Owner->close();
+    });
+  }
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer TimeoutTimer;
   MessageParser Parser;
   std::string Unread; ///< Received bytes that are not parsed yet.
   bool Busy = false;
+  /// When it finished its latest request, or was accepted.
+  SteadyClock::time_point FinishedAt = SteadyClock::now();
+  MemoryBudget::Share Memory;
 };
 
-HttpServer::HttpServer(asio::io_context &Io, HttpHandler Handler)
-    : Io(Io), Handler(std::move(Handler)), Acceptor(Io) {}
+HttpServer::HttpServer(asio::io_context &Io, HttpHandler Handler,
+                       std::shared_ptr<MemoryBudget> Shared)
+    : Io(Io), Handler(std::move(Handler)), Acceptor(Io),
+      Budget(Shared ? std::move(Shared) : std::make_shared<MemoryBudget>()) {}
 
 HttpServer::~HttpServer() = default;
 
@@ -90,17 +136,43 @@
           asio::redirect_error(asio::use_awaitable, Failure));
       continue;
     }
-    if (this->Sessions.size() >= this->Limits.MaxConnections) {
+    if (!this->makeRoom()) {
       logEvent(LogLevel::Warning, "connection_refused",
                {{"open", static_cast<std::int64_t>(this->Sessions.size())}});
       continue;
     }
     Socket.set_option(asio::ip::tcp::no_delay(true), Failure);
-    auto Client = std::make_shared<Session>(std::move(Socket), this->Limits);
+    auto Client = std::make_shared<Session>(std::move(Socket), this->Limits,
+                                            this->Budget);
     asio::co_spawn(this->Io, this->serve(std::move(Client)), asio::detached);
   }
 }
 
+/// Closes the connection that has finished no request for longest if there are
+/// too many. Returns whether there is room for another one.
+bool HttpServer::makeRoom() {
+  std::size_t Open = 0;
+  Session *Oldest = nullptr;
+  for (Session *Client : this->Sessions) {
+    if (!Client->Socket.is_open())
+      continue;
+    ++Open;
+    const bool Older = !Oldest || Client->FinishedAt < Oldest->FinishedAt;
+    if (!Client->Busy && Older)
+      Oldest = Client;
+  }
+  if (Open < this->Limits.MaxConnections)
+    return true;
+  if (!Oldest)
+    return false;
+  ++this->ClosedForRoom;
+  logEvent(
+      LogLevel::Warning, "connection_closed",
+      {{"reason", "connections"}, {"open", static_cast<std::int64_t>(Open)}});
+  Oldest->close();
+  return true;
+}
+
 asio::awaitable<void> HttpServer::serve(std::shared_ptr<Session> Client) {
   this->Sessions.insert(Client.get());
   bool Open = true;
@@ -108,18 +180,18 @@
     HttpRequest Request;
     Open = co_await this->readRequest(Client, Request);
     if (Open)
-      Open = co_await this->respond(*Client, std::move(Request));
+      Open = co_await this->respond(Client, std::move(Request));
   }
   this->Sessions.erase(Client.get());
   Client->TimeoutTimer.cancel();
-  asio::error_code Ignored;
-  Client->Socket.close(Ignored);
+  Client->close();
 }
 
 asio::awaitable<bool> HttpServer::readRequest(std::shared_ptr<Session> Owner,
                                               HttpRequest &Request) {
   Session &Client = *Owner;
   Client.Parser.reset();
+  Client.countMemory();
   std::string Chunk;
   // Set by the first byte. Later ones don't extend it, so that a slow sender
   // cannot hold the connection.
@@ -129,14 +201,11 @@
     if (!Client.Unread.empty()) {
       const auto State = Client.Parser.feed(Client.Unread, Consumed);
       Client.Unread.erase(0, Consumed);
+      Client.countMemory();
       if (State == MessageParser::State::Complete)
         break;
-      if (State != MessageParser::State::NeedsMore) {
-        // Not a temporary in the call: g++ 12 destroys an aggregate there
-        // twice.
-        HttpRequest Malformed;
-        co_return co_await this->respond(Client, std::move(Malformed));
-      }
+      if (State != MessageParser::State::NeedsMore)
+        co_return co_await this->refuse(Owner, refusalStatus(State));
     }
     const auto Now = SteadyClock::now();
     if (Client.Parser.started() && !RequestEnds)
@@ -146,11 +215,7 @@
         Now + std::chrono::milliseconds(this->Limits.IdleTimeout.Ms);
     Client.TimeoutTimer.expires_at(RequestEnds.value_or(IdleEnds));
     // Closing the socket makes the read below fail.
-    Client.TimeoutTimer.async_wait([Owner](asio::error_code Cancelled) {
-      asio::error_code Ignored;
-      if (!Cancelled)
-        Owner->Socket.close(Ignored);
-    });
+    Session::closeOnTimeout(Owner);
     asio::error_code Failure;
     Chunk.resize(ReadChunkBytes);
     const std::size_t Size = co_await Client.Socket.async_read_some(
@@ -165,23 +230,48 @@
   co_return true;
 }
 
-asio::awaitable<bool> HttpServer::respond(Session &Client,
+asio::awaitable<bool> HttpServer::respond(std::shared_ptr<Session> Owner,
                                           HttpRequest Request) {
-  const bool Parsed = !Request.Method.empty();
-  HttpResponse Response{400, {}, {}};
-  Client.Busy = true;
+  Owner->setBusy(true);
   ++this->ActiveRequests;
-  if (Parsed)
-    Response = co_await this->Handler(std::move(Request));
-  const bool KeepAlive = Parsed && Client.Parser.keepAlive() && !this->Draining;
+  HttpResponse Response = co_await this->Handler(std::move(Request));
+  const bool KeepAlive = Owner->Parser.keepAlive() && !this->Draining;
+  const bool Written =
+      co_await this->write(Owner, std::move(Response), KeepAlive);
+  Owner->setBusy(false);
+  --this->ActiveRequests;
+  Owner->Memory.finishCall();
+  Owner->FinishedAt = SteadyClock::now();
+  co_return KeepAlive &&Written;
+}
+
+/// Answers a request that was not read to its end. The connection is closed
+/// after it.
+asio::awaitable<bool> HttpServer::refuse(std::shared_ptr<Session> Owner,
+                                         int Status) {
+  Owner->setBusy(true);
+  ++this->ActiveRequests;
+  // Not a temporary in the call: g++ 12 destroys an aggregate there twice.
+  HttpResponse Refusal{Status, {}, {}};
+  co_await this->write(Owner, std::move(Refusal), false);
+  Owner->setBusy(false);
+  --this->ActiveRequests;
+  co_return false;
+}
+
+/// Returns whether the response was written.
+asio::awaitable<bool> HttpServer::write(std::shared_ptr<Session> Owner,
+                                        HttpResponse Response, bool KeepAlive) {
   const std::string Text = formatResponse(Response, KeepAlive);
+  Owner->TimeoutTimer.expires_after(
+      std::chrono::milliseconds(this->Limits.ResponseTimeout.Ms));
+  Session::closeOnTimeout(Owner);
   asio::error_code Failure;
   co_await asio::async_write(
-      Client.Socket, asio::buffer(Text),
+      Owner->Socket, asio::buffer(Text),
       asio::redirect_error(asio::use_awaitable, Failure));
-  Client.Busy = false;
-  --this->ActiveRequests;
-  co_return KeepAlive && !Failure;
+  Owner->TimeoutTimer.cancel();
+  co_return !Failure;
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/net/message_parser.hpp
+++ b/src/pistachioflow/net/message_parser.hpp
@@ -16,10 +16,17 @@
 class MessageParser {
 public:
   /// State of the current message.
-  enum class State { NeedsMore, Complete, TooLarge, Malformed };
+  enum class State {
+    NeedsMore,
+    Complete,
+    HeadTooLarge,
+    BodyTooLarge, ///< Received or announced.
+    Malformed,
+  };
 
   /// \p BodyLimit and \p HeaderLimit are in bytes. The header limit also covers
-  /// the target.
+  /// the target and the separators, trailers, and separately what comes before
+  /// the message. Trailers are dropped.
   MessageParser(http_parser_type Kind, std::size_t BodyLimit,
                 std::size_t HeaderLimit);
 
@@ -30,6 +37,9 @@
   /// Prepares for the next message of the same connection.
   void reset();
 
+  /// Returns about how many bytes of memory the message takes.
+  std::size_t heldBytes() const;
+
   /// Returns whether any byte of the current message was fed.
   bool started() const { return this->Started; }
   bool keepAlive() const { return this->KeepAlive; }
@@ -41,19 +51,23 @@
 
 private:
   static const http_parser_settings &callbacks();
+  bool addHeaderBytes(std::size_t Size);
 
   http_parser Parser{};
   http_parser_type Kind;
   std::size_t BodyLimit;
   std::size_t HeaderLimit;
   std::size_t HeaderBytes = 0;
+  std::size_t LeadingBytes = 0; ///< Before the message: empty lines.
   std::string Target;
   std::string Body;
   std::vector<HttpHeader> Headers;
   bool LastPartWasValue = true;
   bool Started = false;
   bool Complete = false;
-  bool TooLarge = false;
+  bool Begun = false;        ///< Its first line has begun.
+  bool HeadComplete = false; ///< Header fields that follow are trailers.
+  bool BodyTooLarge = false;
   bool KeepAlive = false;
 };
 
--- a/src/pistachioflow/platform/instance_settings.cpp
+++ b/src/pistachioflow/platform/instance_settings.cpp
@@ -13,6 +13,10 @@
 constexpr IntegerRange DurationRangeMs{1, 600'000};
 constexpr IntegerRange MaxLeaseRangeMs{MinMaxLease.Ms, DurationRangeMs.Max};
 constexpr IntegerRange SizeRangeBytes{1'024, std::int64_t{1} << 30U};
+/// A daemon that follows the store needs about 10 MB without any work.
+constexpr IntegerRange MemoryRangeMb{24, std::int64_t{1} << 24U};
+/// Half of them are for callers.
+constexpr IntegerRange DescriptorRange{64, std::int64_t{1} << 24U};
 constexpr double MaxDurationS = 86'400;
 constexpr std::int64_t MsPerSecond = 1'000;
 
@@ -33,6 +37,11 @@
   const double Cores = Reader.number("cores", 0.001, MaxCores, 1.0);
   constexpr double MilliPerCore = 1'000;
   Settings.MilliCores = static_cast<std::int64_t>(Share * Cores * MilliPerCore);
+  if (Reader.has("memory_mb"))
+    Settings.MemoryMb = Reader.integer("memory_mb", MemoryRangeMb);
+  if (Reader.has("file_descriptors"))
+    Settings.FileDescriptors =
+        Reader.integer("file_descriptors", DescriptorRange);
 }
 
 void readBounds(ObjectReader Reader, InstanceSettings &Settings) {
--- a/src/pistachioflow/platform/store_client.cpp
+++ b/src/pistachioflow/platform/store_client.cpp
@@ -205,8 +205,9 @@
   return "invalid";
 }
 
-StoreClient::StoreClient(asio::io_context &Io, std::string_view Address)
-    : Http(Io, parseEndpoint(Address)) {}
+StoreClient::StoreClient(asio::io_context &Io, std::string_view Address,
+                         std::shared_ptr<MemoryBudget> Budget)
+    : Http(Io, parseEndpoint(Address), std::move(Budget)) {}
 
 asio::awaitable<AppendAnswer>
 StoreClient::append(std::string Topic, std::span<const JournalRecord> Records,
--- a/src/pistachioflow/platform/worker_client.cpp
+++ b/src/pistachioflow/platform/worker_client.cpp
@@ -245,8 +245,10 @@
 }
 
 WorkerClient::WorkerClient(asio::io_context &Io, std::string WorkerId,
-                           std::string_view Address)
-    : WorkerId(std::move(WorkerId)), Http(Io, parseEndpoint(Address)) {}
+                           std::string_view Address,
+                           std::shared_ptr<MemoryBudget> Budget)
+    : WorkerId(std::move(WorkerId)),
+      Http(Io, parseEndpoint(Address), std::move(Budget)) {}
 
 HttpRequest WorkerClient::makeOrderRequest(std::string Target,
                                            std::string Body) const {
