--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -44,7 +44,8 @@
   /// \p OnFenced is called when a worker or the store knows a newer owner.
   Dispatcher(asio::io_context &Io, StoreClient &Store, const Clock &Time,
              const InstanceSettings &Settings, const DesiredState &Desired,
-             EvacuationSource Evacuations, PacePlacement PaceMode,
+             EvacuationSource Evacuations,
+             std::shared_ptr<MemoryBudget> WorkerMemory, PacePlacement PaceMode,
              std::function<void(std::string_view Reason)> OnFenced);
   ~Dispatcher();
 
@@ -122,6 +123,7 @@
   const InstanceSettings &Settings;
   const DesiredState &Desired;
   EvacuationSource Evacuations;
+  std::shared_ptr<MemoryBudget> WorkerMemory; ///< For the answers of workers.
   std::function<void(std::string_view Reason)> OnFenced;
   TermPtr CurrentTerm;
   DurationModel Durations;
--- a/src/pistachioflow/entry/dispatcher.cpp
+++ b/src/pistachioflow/entry/dispatcher.cpp
@@ -100,10 +100,13 @@
 Dispatcher::Dispatcher(asio::io_context &Io, StoreClient &Store,
                        const Clock &Time, const InstanceSettings &Settings,
                        const DesiredState &Desired,
-                       EvacuationSource Evacuations, PacePlacement PaceMode,
+                       EvacuationSource Evacuations,
+                       std::shared_ptr<MemoryBudget> WorkerMemory,
+                       PacePlacement PaceMode,
                        std::function<void(std::string_view Reason)> OnFenced)
     : Io(Io), Store(Store), Time(Time), Settings(Settings), Desired(Desired),
-      Evacuations(std::move(Evacuations)), OnFenced(std::move(OnFenced)),
+      Evacuations(std::move(Evacuations)),
+      WorkerMemory(std::move(WorkerMemory)), OnFenced(std::move(OnFenced)),
       PaceMode(PaceMode), RoundTimer(Io) {}
 
 Dispatcher::~Dispatcher() = default;
@@ -202,6 +205,10 @@
   entryMetrics().UnitsWaiting.set(
       static_cast<std::int64_t>(Plan.Waiting - Plan.Starts.size()));
   entryMetrics().Preemptions.add(Plan.Preemptions.size());
+  entryMetrics().PlacementsByPace.add(static_cast<std::uint64_t>(
+      std::ranges::count_if(Plan.Starts, [](const UnitPlacement &Start) {
+        return !Start.Detail.empty();
+      })));
   applyPlan(Term.Table, Plan, Now);
   return !Plan.Incomplete;
 }
