--- a/include/pistachioflow/entry/dispatcher.hpp
+++ b/include/pistachioflow/entry/dispatcher.hpp
@@ -45,7 +45,7 @@
   Dispatcher(asio::io_context &Io, StoreClient &Store, const Clock &Time,
              const InstanceSettings &Settings, const DesiredState &Desired,
              EvacuationSource Evacuations,
-             std::shared_ptr<MemoryBudget> WorkerMemory,
+             std::shared_ptr<MemoryBudget> WorkerMemory, PacePlacement PaceMode,
              std::function<void(std::string_view Reason)> OnFenced);
   ~Dispatcher();
 
@@ -83,6 +83,8 @@
   PlanningView planningView(OwnershipTerm &Term, Instant Now) const;
   bool placeUnits(OwnershipTerm &Term);
   bool mayPlace();
+  void learnPaces(OwnershipTerm &Term, const WorkerLink &Worker, Instant Now);
+  void trimPaces();
   std::string_view evacuationObstacle(const WorkerLink &Worker) const;
   void sendStops(const TermPtr &Term);
   void preemptOnDrainingWorkers(OwnershipTerm &Term);
@@ -125,6 +127,9 @@
   std::function<void(std::string_view Reason)> OnFenced;
   TermPtr CurrentTerm;
   DurationModel Durations;
+  PacePlacement PaceMode;
+  PaceModel Paces;
+  Instant PacesTrimmedAt;
   asio::steady_timer RoundTimer;
   Duration LastRoundTime{0};
   bool RoundRequested = false;
--- a/include/pistachioflow/entry/metrics.hpp
+++ b/include/pistachioflow/entry/metrics.hpp
@@ -28,6 +28,7 @@
   Counter &RunsStarted = Registry.counter("runs_started_total");
   Counter &StartsRefused = Registry.counter("starts_refused_total");
   Counter &StartsEvacuated = Registry.counter("starts_evacuated_total");
+  Counter &PlacementsByPace = Registry.counter("placements_by_pace_total");
   Counter &RunsEnded = Registry.counter("runs_ended_total");
   Counter &RunsLost = Registry.counter("runs_lost_total");
   Counter &RunsCrashed = Registry.counter("runs_crashed_total");
@@ -44,6 +45,7 @@
   Gauge &CallerMemory = Registry.gauge("caller_connection_bytes");
   Gauge &ClosedForMemory = Registry.gauge("connections_closed_for_memory");
   Gauge &ClosedForRoom = Registry.gauge("connections_closed_for_room");
+  Gauge &PaceSpread = Registry.gauge("worker_pace_spread_percent");
   Gauge &LogLinesDropped = Registry.gauge("log_lines_dropped");
   LatencyHistogram &SubmitMs = Registry.latency("submit_ms");
   LatencyHistogram &AppendMs = Registry.latency("store_append_ms");
