Add a check of a configuration to pistachioctl

Cause: the daemon accepts each configuration that it can decode. Routes that get no calls, services that nobody defines, API keys of two workspaces, an empty API key (calls without a key then count for its workspace), limits of 0 and a version that is not higher show only after the configuration was sent.

Change: `pistachioctl check FILE [--against FILE] [--workers FILE] [--json]` reports them from files, with exit codes 0 to 3. The decisions are pure functions in sched/configuration_check.hpp; platform/configuration_file.hpp decodes the fields that the daemon does not read and gives findings about a tenant its index. What the daemon accepts and logs is unchanged. The program's tests form the new target ctl_tests. readFile() of pistachioctl refuses a folder, since reading one throws.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -61,6 +61,20 @@
   pistachioflow_program_in(${program} src/pistachioflow/${folder} ${ARGN})
 endfunction()
 
+# Adds <folder>_tests from a program's folder: its *_test.cpp with its sources except main.cpp.
+function(pistachioflow_program_tests folder)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  pistachioflow_sources(src/pistachioflow/${folder} sources tests)
+  list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
+  add_executable(${folder}_tests ${sources} ${tests})
+  pistachioflow_target_defaults(${folder}_tests)
+  target_link_libraries(${folder}_tests PRIVATE ${ARG_DEPENDS} pf_catch_main)
+  target_compile_definitions(${folder}_tests PRIVATE
+    PISTACHIOFLOW_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+  add_test(NAME ${folder} COMMAND ${folder}_tests)
+  set_tests_properties(${folder} PROPERTIES TIMEOUT ${PISTACHIOFLOW_TEST_TIMEOUT_S})
+endfunction()
+
 # Adds one program for each file of the folder.
 function(pistachioflow_benchmarks folder)
   pistachioflow_sources(${folder} sources tests)
--- a/src/pistachioflow/ctl/command.cpp
+++ b/src/pistachioflow/ctl/command.cpp
@@ -1,5 +1,6 @@
 #include "pistachioflow/ctl/command.hpp"
 
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -65,7 +66,9 @@
     return true;
   }
   std::ifstream File(Path, std::ios::binary);
-  if (!File) {
+  std::error_code NotFound;
+  // A folder can be opened, and the stream buffer throws when it is read.
+  if (!File || std::filesystem::is_directory(Path, NotFound)) {
     std::cerr << Path << ": cannot be read\n";
     return false;
   }
--- a/src/pistachioflow/ctl/command.hpp
+++ b/src/pistachioflow/ctl/command.hpp
@@ -25,6 +25,8 @@
   std::string Workspace;
   std::string Since; ///< Wall clock in milliseconds since the Unix epoch.
   std::string HtmlFile;
+  std::string AgainstFile; ///< check: the configuration in force.
+  std::string WorkersFile; ///< check: the list of workers.
   bool Follow = false;
   Duration Timeout{10'000};
 };
@@ -44,6 +46,7 @@
 std::span<const Command> jobCommands();
 std::span<const Command> inspectCommands();
 std::span<const Command> timelineCommands();
+std::span<const Command> checkCommands();
 
 /// Sends \p Call with the flags' timeout and prints the answer.
 ExitCode sendAndPrint(const Options &Flags, HttpCall Call);
--- a/src/pistachioflow/ctl/main.cpp
+++ b/src/pistachioflow/ctl/main.cpp
@@ -24,6 +24,9 @@
           "timeline: milliseconds since the Unix epoch");
 ABSL_FLAG(std::string, html, "", "timeline: writes a page to this file");
 ABSL_FLAG(bool, follow, false, "timeline: goes on printing new events");
+ABSL_FLAG(std::string, against, "", "check: the configuration in force");
+ABSL_FLAG(std::string, workers, "", "check: a file with the list of workers");
+ABSL_FLAG(bool, json, false, "the same as --output=json");
 ABSL_FLAG(std::int64_t, timeout_ms, 10'000, "how long to wait for an answer");
 
 namespace {
@@ -32,8 +35,8 @@
 
 std::vector<Command> allCommands() {
   std::vector<Command> All;
-  for (const auto Group :
-       {listCommands(), jobCommands(), inspectCommands(), timelineCommands()})
+  for (const auto Group : {listCommands(), jobCommands(), inspectCommands(),
+                           timelineCommands(), checkCommands()})
     All.insert(All.end(), Group.begin(), Group.end());
   return All;
 }
@@ -49,7 +52,8 @@
   }
   Text += "\nExit codes: 0 done, 1 refused, 2 wrong usage, 3 stale revision, "
           "4 surely not run,\n5 may have taken effect, 6 some instances could "
-          "not be asked.\n";
+          "not be asked.\nExit codes of check: 0 nothing found, 1 warnings "
+          "only, 2 errors or wrong usage,\n3 a file could not be read.\n";
   return Text;
 }
 
@@ -65,7 +69,8 @@
     std::cerr << "--output: expected table or json, found " << Output << "\n";
     return false;
   }
-  Flags.Output = Output == "json" ? OutputFormat::Json : OutputFormat::Table;
+  const bool Json = Output == "json" || absl::GetFlag(FLAGS_json);
+  Flags.Output = Json ? OutputFormat::Json : OutputFormat::Table;
   Flags.Operator = absl::GetFlag(FLAGS_operator);
   Flags.EditId = absl::GetFlag(FLAGS_edit_id);
   Flags.Base = absl::GetFlag(FLAGS_base);
@@ -74,6 +79,8 @@
   Flags.Workspace = absl::GetFlag(FLAGS_workspace);
   Flags.Since = absl::GetFlag(FLAGS_since);
   Flags.HtmlFile = absl::GetFlag(FLAGS_html);
+  Flags.AgainstFile = absl::GetFlag(FLAGS_against);
+  Flags.WorkersFile = absl::GetFlag(FLAGS_workers);
   Flags.Follow = absl::GetFlag(FLAGS_follow);
   Flags.Timeout = {absl::GetFlag(FLAGS_timeout_ms)};
   return true;
