Tell lasting differences between workers from chance

Change: the spread is that between the workers, less what the spread within them explains.

Result: sched tests pass; a new one shows no spread where runs differ by chance only.

--- a/include/pistachioflow/sched/worker_pace.hpp
+++ b/include/pistachioflow/sched/worker_pace.hpp
@@ -31,6 +31,7 @@
 /// A decaying mean of logarithms.
 struct DecayingMean {
   double Sum = 0;
+  double SquareSum = 0;
   double Weight = 0;
   Instant At; ///< Up to then it has decayed.
 
@@ -100,8 +101,9 @@
 /// that are small or hardly known are 0.
 std::vector<double> slowdownsBeside(const PaceModel &Model, std::size_t Kind);
 
-/// Returns the median pace over that of the slowest tenth, of the workers of
-/// which enough is known; 1 if there are few.
+/// Returns the median pace over that of the slowest tenth of the workers; 1
+/// while little is known. Differences between the runs of one worker are chance
+/// or depend on what runs beside them, and are taken out.
 double paceSpread(const PaceModel &Model, Instant Now);
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/worker_pace.cpp
+++ b/src/pistachioflow/sched/worker_pace.cpp
@@ -29,9 +29,11 @@
 constexpr double MaxDeviation = 1.5;
 /// \name Of a spread
 /// @{
-constexpr double MinSpreadWeight = 1;
-constexpr std::size_t MinSpreadWorkers = 20;
-constexpr std::size_t SlowestPart = 10;
+constexpr double MinSpreadWeight = 2;
+constexpr double MinSpreadWorkers = 20;
+/// Standard deviations from the median to the slowest tenth of a normal
+/// distribution.
+constexpr double SlowestTenthDeviations = 1.28;
 /// @}
 
 double decayFactor(Duration Age, Duration HalfLife) {
@@ -43,6 +45,7 @@
 void decay(DecayingMean &Mean, Duration HalfLife, Instant Now) {
   const double Factor = decayFactor(Now - Mean.At, HalfLife);
   Mean.Sum *= Factor;
+  Mean.SquareSum *= Factor;
   Mean.Weight *= Factor;
   Mean.At = std::max(Mean.At, Now);
 }
@@ -51,6 +54,7 @@
          Instant Now) {
   decay(Mean, HalfLife, Now);
   Mean.Sum += Value * Weight;
+  Mean.SquareSum += Value * Value * Weight;
   Mean.Weight += Weight;
 }
 
@@ -192,17 +196,32 @@
 }
 
 double paceSpread(const PaceModel &Model, Instant Now) {
-  std::vector<double> Paces;
+  double Workers = 0;
+  double MeanSum = 0;
+  double MeanSquareSum = 0;
+  double WithinSum = 0;
+  double Freedom = 0;
+  double InverseWeights = 0;
   for (const auto &[Id, Worker] : Model.Workers) {
     DecayingMean Pace = Worker.LogPace;
     decay(Pace, PaceHalfLife, Now);
-    if (Pace.Weight >= MinSpreadWeight)
-      Paces.push_back(Pace.mean(0));
+    if (Pace.Weight < MinSpreadWeight)
+      continue;
+    const double Mean = Pace.mean(0);
+    Workers += 1;
+    MeanSum += Mean;
+    MeanSquareSum += Mean * Mean;
+    WithinSum += std::max(Pace.SquareSum - Pace.Sum * Mean, 0.0);
+    Freedom += Pace.Weight - 1;
+    InverseWeights += 1 / Pace.Weight;
   }
-  if (Paces.size() < MinSpreadWorkers)
+  if (Workers < MinSpreadWorkers)
     return 1;
-  std::ranges::sort(Paces);
-  return std::exp(Paces[Paces.size() / 2] - Paces[Paces.size() / SlowestPart]);
+  const double Mean = MeanSum / Workers;
+  const double Between = MeanSquareSum / Workers - Mean * Mean;
+  const double Chance = WithinSum / Freedom * InverseWeights / Workers;
+  return std::exp(SlowestTenthDeviations *
+                  std::sqrt(std::max(Between - Chance, 0.0)));
 }
 
 } // namespace pistachioflow
--- a/src/pistachioflow/sched/worker_pace_test.cpp
+++ b/src/pistachioflow/sched/worker_pace_test.cpp
@@ -57,6 +57,24 @@
   REQUIRE(Spread < 1.9);
 }
 
+// Guards against a change for fleets of equal workers, whose runs differ by
+// chance or by what runs beside them.
+TEST_CASE("workers that differ by chance only show no spread") {
+  const double Noise = GENERATE(0.1, 0.4);
+  PaceModel Model;
+  for (int Step = 0; Step < 8; ++Step)
+    for (int Worker = 0; Worker < 30; ++Worker) {
+      const std::string StepName = "job.0." + std::to_string(Step);
+      const std::string WorkerName = "w" + std::to_string(Worker);
+      const double Chance = std::sin(7.0 * Worker + 13.0 * Step * Step);
+      learnSpeed(
+          Model,
+          {StepName, WorkerName, Incarnation, "queue", 0, Noise * Chance},
+          Start);
+    }
+  REQUIRE(paceSpread(Model, Start) < 1.25);
+}
+
 TEST_CASE("nothing is concluded from little or about others") {
   PaceModel Model;
   const auto Learn = [&](const char *Step, const char *Worker, double Speed) {
