Estimate the spread of workers as soon as chance is known

Cause: only workers with two samples counted towards the spread, so that in auto mode pace decided late, and again late after each change of owner.

Change: workers with one sample count towards the spread; how much runs differ by chance is estimated from those with two.

--- a/src/pistachioflow/sched/worker_pace.cpp
+++ b/src/pistachioflow/sched/worker_pace.cpp
@@ -31,8 +31,13 @@
 constexpr double MaxDeviation = 1.5;
 /// \name Of a spread
 /// @{
-constexpr double MinSpreadWeight = 2;
+/// One sample, somewhat aged.
+constexpr double MinSpreadWeight = 0.7;
+/// Two samples, somewhat aged: these show how much runs differ by chance.
+constexpr double MinVarianceWeight = 1.4;
 constexpr double MinSpreadWorkers = 20;
+/// Degrees of freedom that the chance is estimated from.
+constexpr double MinFreedom = 10;
 /// Standard deviations from the median to the slowest tenth of a normal
 /// distribution.
 constexpr double SlowestTenthDeviations = 1.28;
@@ -221,11 +226,13 @@
     Workers += 1;
     MeanSum += Mean;
     MeanSquareSum += Mean * Mean;
+    InverseWeights += 1 / Pace.Weight;
+    if (Pace.Weight < MinVarianceWeight)
+      continue;
     WithinSum += std::max(Pace.SquareSum - Pace.Sum * Mean, 0.0);
     Freedom += Pace.Weight - 1;
-    InverseWeights += 1 / Pace.Weight;
   }
-  if (Workers < MinSpreadWorkers)
+  if (Workers < MinSpreadWorkers || Freedom < MinFreedom)
     return 1;
   const double Mean = MeanSum / Workers;
   const double Between = MeanSquareSum / Workers - Mean * Mean;
