--- a/review/stand-ins-3/scene.cpp
+++ b/review/stand-ins-3/scene.cpp
@@ -273,6 +273,8 @@
   Entry.Listed = true;
 }
 
+unsigned short Scene::unusedPort() { return freePort(this->Io); }
+
 void Scene::killRunner(std::size_t Index) {
   RunnerProcess &Entry = *this->Runners[Index];
   if (Entry.Pid <= 0)
--- a/review/stand-ins-3/scene.hpp
+++ b/review/stand-ins-3/scene.hpp
@@ -87,6 +87,7 @@
   void broken(const std::string &Line);
   void cannotRun(const std::string &Line);
 
+  unsigned short unusedPort();
   void killRunner(std::size_t Index);
   void startRunner(std::size_t Index);
   /// Kills a runner and starts it again under its id.
