--- a/review/stand-ins-3/late_crashes.cpp
+++ b/review/stand-ins-3/late_crashes.cpp
@@ -17,14 +17,19 @@
 constexpr Duration ReplaceAfter{2'000};
 constexpr Duration PlayTime{104'000};
 constexpr std::int64_t WorkMs = 20'000;
-/// Sound jobs, done first: the news' day has a share of 0.1 of deadly ones.
-constexpr int SoundJobs = 10;
+/// Sound jobs, done first: the site file has a share of 0.05 of poison.
+constexpr int SoundJobs = 20;
 constexpr std::int64_t SoundMs = 500;
 constexpr Duration SoundLimit{5'000};
 /// BUDGET: that many starts more after three runners have crashed.
 constexpr std::size_t CrashesThatCount = 3;
 constexpr std::size_t StartsMore = 3;
 
+std::string soundId(int Job) {
+  constexpr int FirstOfTwoDigits = 10;
+  return "3a41c000000000" + std::to_string(FirstOfTwoDigits + Job);
+}
+
 void addRunner(Scene &Stage) {
   auto Entry = std::make_unique<RunnerProcess>();
   Entry->Id = "n-" + std::to_string(2'000 + Stage.Runners.size());
@@ -43,14 +48,12 @@
                      {"estimated_duration_ms", SoundMs}};
   const std::string Text = "ms=" + std::to_string(SoundMs) + " gpus=1";
   for (int Job = 0; Job < SoundJobs; ++Job) {
-    const std::string Sound = "3a41c0000000000" + std::to_string(Job);
-    if (!co_await Stage.submit(Sound, jobBody(Step, Text), 10))
+    if (!co_await Stage.submit(soundId(Job), jobBody(Step, Text), 10))
       co_return false;
   }
   const auto AllEnded = [&Stage] {
     for (int Job = 0; Job < SoundJobs; ++Job)
-      if (Stage.count("ended",
-                      "3a41c0000000000" + std::to_string(Job) + ".0.0.0") == 0)
+      if (Stage.count("ended", soundId(Job) + ".0.0.0") == 0)
         return false;
     return true;
   };
